--- /dev/null
+++ b/src/base/testing/ErrorKindTest.cc
@@ -0,0 +1,22 @@
+#include "base/ErrorKind.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace peridotsail;
+
+// Guards against a row that is out of order, which would answer with the
+// status of another kind.
+TEST_CASE("the answer table is indexed by kind and names are unique")
+{
+  std::set<std::string_view> names;
+  for (std::size_t i = 0; i < kErrorKindCount; ++i) {
+    const auto kind = static_cast<ErrorKind>(i);
+    const ErrorAnswer& answer = AnswerFor(kind);
+    CHECK(answer.kind_ == kind);
+    CHECK(answer.httpStatus_ >= 400);
+    CHECK(names.insert(answer.name_).second);
+    CHECK(ErrorKindFromName(answer.name_) == kind);
+  }
+  CHECK_FALSE(ErrorKindFromName("no-such-kind").has_value());
+}
