Add the design page and the base library

Change: docs/design.md; BootClock on CLOCK_BOOTTIME, Ring, DutyThread, EventLog with its catalogue, Metrics on Boost.Accumulators, Hash. Result: base_test passes under the address and undefined-behaviour sanitizers.

--- /dev/null
+++ b/src/base/BootClock.cc
@@ -0,0 +1,16 @@
+#include "base/BootClock.h"
+
+#include <ctime>
+
+namespace peridotsail {
+
+BootClock::time_point
+BootClock::now() noexcept
+{
+  timespec value{};
+  clock_gettime(CLOCK_BOOTTIME, &value);
+  return time_point(std::chrono::seconds(value.tv_sec) +
+                    std::chrono::nanoseconds(value.tv_nsec));
+}
+
+}
--- /dev/null
+++ b/src/base/DutyThread.cc
@@ -0,0 +1,101 @@
+#include "base/DutyThread.h"
+
+#include "base/Ring.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <optional>
+#include <pthread.h>
+#include <thread>
+
+namespace peridotsail {
+
+struct DutyThread::Impl
+{
+  using WorkGuard =
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+  Impl(std::string aName, std::size_t aRingCapacity)
+    : name_(std::move(aName))
+    , guard_(boost::asio::make_work_guard(context_))
+    , ring_(aRingCapacity,
+            [this] { boost::asio::post(context_, [this] { Drain(); }); })
+  {
+  }
+
+  void Drain()
+  {
+    for (Task& task : ring_.TakeAll()) {
+      task();
+    }
+  }
+
+  std::string name_;
+  boost::asio::io_context context_{ 1 };
+  WorkGuard guard_;
+  Ring<Task> ring_;
+  std::thread thread_;
+};
+
+DutyThread::DutyThread(std::string aName, std::size_t aRingCapacity)
+  : impl_(std::make_unique<Impl>(std::move(aName), aRingCapacity))
+{
+}
+
+DutyThread::~DutyThread()
+{
+  Stop();
+}
+
+boost::asio::io_context&
+DutyThread::Context()
+{
+  return impl_->context_;
+}
+
+void
+DutyThread::Start()
+{
+  impl_->thread_ = std::thread([this] {
+    pthread_setname_np(pthread_self(), impl_->name_.substr(0, 15).c_str());
+    impl_->context_.run();
+  });
+}
+
+void
+DutyThread::Stop()
+{
+  impl_->context_.stop();
+  if (impl_->thread_.joinable()) {
+    impl_->thread_.join();
+  }
+}
+
+bool
+DutyThread::Post(Task aTask)
+{
+  return impl_->ring_.Push(std::move(aTask));
+}
+
+void
+DutyThread::RunAndWait(const Task& aTask)
+{
+  if (impl_->context_.stopped()) {
+    return;
+  }
+  std::promise<void> done;
+  boost::asio::post(impl_->context_, [&] {
+    aTask();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::size_t
+DutyThread::Rejected() const
+{
+  return impl_->ring_.Rejected();
+}
+
+}
--- /dev/null
+++ b/src/base/EventLog.h
@@ -0,0 +1,142 @@
+#pragma once
+
+// Numbered log events. Each event has a number, a name and a level in the table
+// of EventLog.cc; docs/events.md is the catalogue and a test compares the two.
+//
+//   LogEvent(Event::RouteDecision, { { "route", route }, { "server", name } });
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace peridotsail {
+
+enum class Event : int
+{
+  // 1000: the process
+  ProcessStarted = 1001,
+  ProcessStopping = 1002,
+  ProcessStopped = 1003,
+  SettingsInvalid = 1004,
+  RingFull = 1005,
+  // 2000: configuration and keys
+  ConfigurationInForce = 2001,
+  ConfigurationRefused = 2002,
+  ConfigurationReverted = 2003,
+  ConfigurationCommitted = 2004,
+  ConfigurationConflict = 2005,
+  KeyRefused = 2006,
+  HostIsolated = 2007,
+  // 3000: platform
+  StoreUnreachable = 3001,
+  StoreReachable = 3002,
+  StoreAnswerMalformed = 3003,
+  HostListChanged = 3004,
+  HostListUnreachable = 3005,
+  // 4000: peers
+  PeerConnected = 4001,
+  PeerDisconnected = 4002,
+  PeerMessageMalformed = 4003,
+  // 5000: routing decisions
+  RouteDecision = 5001,
+  RequestRefused = 5002,
+  RelayDecision = 5003,
+  LookupDecision = 5004,
+  RequestFinished = 5005,
+};
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+enum class LogFormat
+{
+  Text,
+  Json,
+};
+
+// One row of the event table.
+struct EventInfo
+{
+  Event event_;
+  std::string_view name_;
+  LogLevel level_;
+  // What happened, in one sentence.
+  std::string_view sentence_;
+};
+
+// One named value of a log line.
+struct LogField
+{
+  LogField(std::string_view aName, std::string_view aValue)
+    : name_(aName)
+    , value_(aValue)
+  {
+  }
+  LogField(std::string_view aName, const char* aValue)
+    : name_(aName)
+    , value_(aValue)
+  {
+  }
+  LogField(std::string_view aName, const std::string& aValue)
+    : name_(aName)
+    , value_(aValue)
+  {
+  }
+  template<typename T,
+           typename = std::enable_if_t<std::is_arithmetic<T>::value>>
+  LogField(std::string_view aName, T aValue)
+    : name_(aName)
+    , value_(std::to_string(aValue))
+    , isNumber_(true)
+  {
+  }
+
+  std::string_view name_;
+  std::string value_;
+  bool isNumber_ = false;
+};
+
+struct LogOptions
+{
+  LogFormat format_ = LogFormat::Text;
+  LogLevel level_ = LogLevel::Info;
+  // Written on every line.
+  std::string hostName_;
+};
+
+// Sets up logging to standard error by a background thread with a bounded
+// queue. Lines are dropped, oldest first, when the queue is full. Without this
+// call nothing is logged.
+void
+StartLog(const LogOptions& aOptions);
+
+// Writes what is queued and ends the background thread.
+void
+StopLog();
+
+void
+LogEvent(Event aEvent, std::initializer_list<LogField> aFields = {});
+
+// All events in the order of their numbers.
+const std::vector<EventInfo>&
+EventTable();
+
+std::string_view
+NameOf(LogLevel aLevel);
+
+std::optional<LogLevel>
+LogLevelFromName(std::string_view aName);
+
+std::optional<LogFormat>
+LogFormatFromName(std::string_view aName);
+
+}
--- /dev/null
+++ b/src/base/Hash.cc
@@ -0,0 +1,70 @@
+#include "base/Hash.h"
+
+#include <array>
+#include <openssl/crypto.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+#include <vector>
+
+namespace peridotsail {
+
+namespace {
+
+std::string
+ToHex(const unsigned char* aBytes, std::size_t aSize)
+{
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string hex;
+  hex.reserve(aSize * 2);
+  for (std::size_t i = 0; i < aSize; ++i) {
+    hex.push_back(kDigits[aBytes[i] >> 4]);
+    hex.push_back(kDigits[aBytes[i] & 15]);
+  }
+  return hex;
+}
+
+}
+
+std::string
+Sha256Hex(std::string_view aText)
+{
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  SHA256(reinterpret_cast<const unsigned char*>(aText.data()),
+         aText.size(),
+         digest.data());
+  return ToHex(digest.data(), digest.size());
+}
+
+std::uint64_t
+StableHash(std::string_view aText, std::uint64_t aSeed)
+{
+  // FNV-1a with the finalizer of SplitMix64, which spreads the low entropy of
+  // short texts over all bits.
+  std::uint64_t hash = 14695981039346656037ULL ^ aSeed;
+  for (const char c : aText) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= 1099511628211ULL;
+  }
+  hash ^= hash >> 30;
+  hash *= 0xbf58476d1ce4e5b9ULL;
+  hash ^= hash >> 27;
+  hash *= 0x94d049bb133111ebULL;
+  return hash ^ (hash >> 31);
+}
+
+bool
+EqualConstantTime(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         CRYPTO_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+std::string
+RandomId()
+{
+  std::array<unsigned char, 16> bytes{};
+  RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+  return ToHex(bytes.data(), bytes.size());
+}
+
+}
--- /dev/null
+++ b/src/base/testing/EventLogTest.cc
@@ -0,0 +1,60 @@
+#include "base/EventLog.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+using namespace peridotsail;
+
+namespace {
+
+// Reads the rows `| 1001 | process-started | info | sentence |`.
+std::map<int, std::string>
+ReadCatalogue()
+{
+  std::map<int, std::string> rows;
+  std::ifstream file(PERIDOTSAIL_SOURCE_DIR "/docs/events.md");
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.size() > 2 && line[0] == '|' && std::isdigit(line[2]) != 0) {
+      rows[std::stoi(line.substr(2))] = line;
+    }
+  }
+  return rows;
+}
+
+std::string
+ExpectedRow(const EventInfo& aInfo)
+{
+  std::ostringstream row;
+  row << "| " << static_cast<int>(aInfo.event_) << " | " << aInfo.name_ << " | "
+      << NameOf(aInfo.level_) << " | " << aInfo.sentence_ << " |";
+  return row.str();
+}
+
+}
+
+// Guards against an event that operators cannot look up.
+TEST_CASE("docs/events.md lists the events of the table and no others")
+{
+  std::map<int, std::string> rows = ReadCatalogue();
+  for (const EventInfo& info : EventTable()) {
+    CHECK(rows[static_cast<int>(info.event_)] == ExpectedRow(info));
+    rows.erase(static_cast<int>(info.event_));
+  }
+  CHECK(rows.empty());
+}
+
+// Guards the binary search over the table and the uniqueness of names.
+TEST_CASE("the event table is sorted and its names are unique")
+{
+  int last = 0;
+  std::set<std::string_view> names;
+  for (const EventInfo& info : EventTable()) {
+    CHECK(static_cast<int>(info.event_) > last);
+    last = static_cast<int>(info.event_);
+    CHECK(names.insert(info.name_).second);
+  }
+}
