--- a/src/base/BootClock.h
+++ b/src/base/BootClock.h
@@ -16,8 +16,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock, Duration>;
-  static constexpr bool is_steady =
-    true; // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming): required by the standard.
+  static constexpr bool is_steady = true;
 
   static time_point now() noexcept;
 };
