--- a/src/base/Metrics.cc
+++ b/src/base/Metrics.cc
@@ -62,7 +62,8 @@
   if (accumulators::count(impl_->accumulator_) == 0) {
     return 0;
   }
-  return accumulators::extended_p_square(impl_->accumulator_)[aIndex];
+  return accumulators::extended_p_square(
+    impl_->accumulator_)[static_cast<std::ptrdiff_t>(aIndex)];
 }
 
 double
