--- /dev/null
+++ b/src/app/PlatformReader.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// Reads the configuration and the host list from the platform at a fixed
+// interval and reports what is new. Runs on the platform thread.
+
+#include "base/BootClock.h"
+#include "config/Configuration.h"
+#include "platform/HostListClient.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace peridotsail {
+
+struct PlatformReaderOptions
+{
+  Address store_;
+  Address hostList_;
+  Duration interval_ = std::chrono::seconds(1);
+};
+
+// Run on the platform thread.
+struct PlatformReaderHooks
+{
+  // A version that is valid and newer than all before.
+  std::function<void(ConfigurationPtr)> onConfiguration_;
+  // The list differs from the one before.
+  std::function<void(std::vector<ListedHost>)> onHosts_;
+};
+
+class PlatformReader
+{
+public:
+  PlatformReader(boost::asio::io_context& aContext,
+                 PlatformReaderOptions aOptions,
+                 PlatformReaderHooks aHooks);
+  ~PlatformReader();
+  PlatformReader(const PlatformReader&) = delete;
+  PlatformReader& operator=(const PlatformReader&) = delete;
+
+  void Start();
+  StoreClient& Store();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/src/app/TrafficHooks.cc
@@ -0,0 +1,152 @@
+#include "app/TrafficHooks.h"
+
+#include "base/EventLog.h"
+#include "base/Hash.h"
+
+#include <algorithm>
+
+namespace peridotsail {
+
+TrafficHooks::TrafficHooks(const Settings& aSettings,
+                           const Snapshot<Configuration>& aConfiguration,
+                           const HostDirectory& aDirectory)
+  : settings_(aSettings)
+  , configuration_(aConfiguration)
+  , directory_(aDirectory)
+  , selector_(aSettings.region_)
+{
+}
+
+PipelineHooks
+TrafficHooks::Make()
+{
+  PipelineHooks hooks;
+  hooks.configuration_ = [this] { return configuration_.Get(); };
+  hooks.lookup_ = [this](const std::string& aBlock) { return Lookup(aBlock); };
+  hooks.authenticate_ = [this](const std::string* aAuthorization,
+                               Error& aError) {
+    return Authenticate(aAuthorization, aError);
+  };
+  hooks.admit_ = [](const std::string&) -> std::optional<Refusal> {
+    return std::nullopt;
+  };
+  hooks.chooseServer_ =
+    [this](const ServerQuery& aQuery,
+           const std::function<void(ServerChoice)>& aCallback) {
+      ChooseServer(aQuery, aCallback);
+    };
+  hooks.onExchange_ = [this](const BackendServerConfig& aServer,
+                             const ExchangeResult& aResult) {
+    selector_.OnExchange(aServer, aResult, BootClock::now());
+  };
+  hooks.chooseRelay_ = [this](const ServerQuery& aQuery) {
+    return ChooseRelay(aQuery);
+  };
+  hooks.mayRetry_ = [](const ServerQuery&, const ExchangeResult&) {
+    return true;
+  };
+  return hooks;
+}
+
+void
+TrafficHooks::OnLink(const PeerHello& aPeer, bool aUp)
+{
+  if (aUp) {
+    linked_[aPeer.hostName_] = aPeer;
+  } else {
+    linked_.erase(aPeer.hostName_);
+  }
+}
+
+std::string
+TrafficHooks::Lookup(const std::string& aBlock) const
+{
+  const ConfigurationPtr configuration = configuration_.Get();
+  const auto hosts =
+    directory_.HostsFor(aBlock, configuration.get(), BootClock::now());
+  LogEvent(Event::LookupDecision,
+           { { "block", aBlock },
+             { "hosts", hosts.size() },
+             { "first", hosts.empty() ? "" : hosts.front().name_ } });
+  return LookupJson(hosts, settings_.lookupTtl_, configuration.get());
+}
+
+std::optional<std::string>
+TrafficHooks::Authenticate(const std::string* aAuthorization,
+                           Error& aError) const
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  aError = { ErrorKind::Unauthenticated, "" };
+  if (aAuthorization == nullptr || aAuthorization->rfind(kScheme, 0) != 0) {
+    return std::nullopt;
+  }
+  const std::string_view presented =
+    std::string_view(*aAuthorization).substr(kScheme.size());
+  const std::size_t dot = presented.find('.');
+  if (dot == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string hash = Sha256Hex(presented.substr(dot + 1));
+  const ConfigurationPtr configuration = configuration_.Get();
+  for (const KeyConfig& key : configuration->keys_) {
+    if (key.id_ != presented.substr(0, dot) ||
+        !EqualConstantTime(key.sha256_, hash)) {
+      continue;
+    }
+    if (key.withdrawn_) {
+      aError.kind_ = ErrorKind::KeyWithdrawn;
+      return std::nullopt;
+    }
+    return key.customer_;
+  }
+  return std::nullopt;
+}
+
+void
+TrafficHooks::ChooseServer(const ServerQuery& aQuery,
+                           const std::function<void(ServerChoice)>& aCallback)
+{
+  ServerChoice choice;
+  choice.server_ = selector_.Choose(*aQuery.configuration_,
+                                    aQuery.route_->pool_,
+                                    aQuery.tried_,
+                                    BootClock::now());
+  choice.refusal_ = MakeRefusal(ErrorKind::NoBackendServer);
+  aCallback(choice);
+}
+
+bool
+TrafficHooks::RegionHasPool(const Configuration& aConfiguration,
+                            const std::string& aRegion,
+                            const std::string& aPool)
+{
+  const auto& servers = aConfiguration.backendServers_;
+  return !aConfiguration.IsDraining(DrainKind::Region, aRegion) &&
+         std::any_of(servers.begin(),
+                     servers.end(),
+                     [&](const BackendServerConfig& aServer) {
+                       return aServer.pool_ == aPool &&
+                              aServer.region_ == aRegion &&
+                              !aConfiguration.IsDraining(
+                                DrainKind::BackendServer, aServer.name_);
+                     });
+}
+
+std::optional<RelayTarget>
+TrafficHooks::ChooseRelay(const ServerQuery& aQuery) const
+{
+  const Configuration& configuration = *aQuery.configuration_;
+  const std::string& pool = aQuery.route_->pool_;
+  if (selector_.HasServer(configuration, pool, BootClock::now())) {
+    return std::nullopt;
+  }
+  for (const auto& [name, peer] : linked_) {
+    if (peer.region_ != settings_.region_ &&
+        RegionHasPool(configuration, peer.region_, pool)) {
+      return RelayTarget{ name, peer.region_ };
+    }
+  }
+  return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/http/BeastTypes.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// Conversions between the plain HTTP types and Boost.Beast. Included by .cc
+// files only, because Beast is slow to compile.
+
+#include "base/BootClock.h"
+#include "http/HttpTypes.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+
+namespace peridotsail::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+inline std::string_view
+ToView(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+inline tcp::endpoint
+ToEndpoint(const Address& aAddress)
+{
+  return { asio::ip::make_address(aAddress.ip_), aAddress.port_ };
+}
+
+inline std::chrono::steady_clock::duration
+ToSteady(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+    aDuration);
+}
+
+template<typename Fields>
+HttpHeaders
+ToHeaders(const Fields& aFields)
+{
+  HttpHeaders headers;
+  for (const auto& field : aFields) {
+    headers.push_back({ std::string(ToView(field.name_string())),
+                        std::string(ToView(field.value())) });
+  }
+  return headers;
+}
+
+template<typename Message>
+void
+SetHeaders(Message& aMessage, const HttpHeaders& aHeaders)
+{
+  for (const HttpHeader& header : aHeaders) {
+    aMessage.insert(header.name_, header.value_);
+  }
+}
+
+template<typename Body>
+void
+SetMethod(http::request<Body>& aRequest, const std::string& aMethod)
+{
+  const http::verb verb = http::string_to_verb(aMethod);
+  if (verb == http::verb::unknown) {
+    aRequest.method_string(aMethod);
+  } else {
+    aRequest.method(verb);
+  }
+}
+
+}
--- /dev/null
+++ b/src/http/HttpClient.cc
@@ -0,0 +1,377 @@
+#include "http/HttpClient.h"
+
+#include "http/BeastTypes.h"
+
+#include <deque>
+#include <map>
+
+namespace peridotsail {
+
+using namespace detail;
+
+namespace {
+
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+
+std::string
+KeyOf(const Address& aAddress)
+{
+  return aAddress.ip_ + ":" + std::to_string(aAddress.port_);
+}
+
+http::request<http::string_body>
+ToBeast(const Address& aAddress, const HttpRequest& aRequest)
+{
+  http::request<http::string_body> request;
+  request.version(11);
+  SetMethod(request, aRequest.method_);
+  request.target(aRequest.target_);
+  request.set(http::field::host, KeyOf(aAddress));
+  SetHeaders(request, aRequest.headers_);
+  request.body() = aRequest.body_;
+  request.prepare_payload();
+  return request;
+}
+
+Error
+ToError(const ErrorCode& aError)
+{
+  return { ErrorKind::PeerUnreachable, aError.message() };
+}
+
+}
+
+// Idle connections by address.
+class HttpClient::Pool
+{
+public:
+  struct Idle
+  {
+    std::unique_ptr<beast::tcp_stream> stream_;
+    TimePoint since_;
+  };
+
+  Pool(asio::io_context& aContext, HttpClientOptions aOptions)
+    : context_(aContext)
+    , options_(aOptions)
+  {
+  }
+
+  // Returns null when there is no usable idle connection.
+  std::unique_ptr<beast::tcp_stream> Take(const Address& aAddress)
+  {
+    std::deque<Idle>& idle = idle_[KeyOf(aAddress)];
+    const TimePoint now = BootClock::now();
+    while (!idle.empty()) {
+      Idle last = std::move(idle.back());
+      idle.pop_back();
+      if (now - last.since_ < options_.idleLimit_) {
+        return std::move(last.stream_);
+      }
+    }
+    return nullptr;
+  }
+
+  void Return(const Address& aAddress,
+              std::unique_ptr<beast::tcp_stream> aStream)
+  {
+    std::deque<Idle>& idle = idle_[KeyOf(aAddress)];
+    idle.push_back({ std::move(aStream), BootClock::now() });
+    if (idle.size() > options_.idleConnections_) {
+      idle.pop_front();
+    }
+  }
+
+  asio::io_context& context_;
+  HttpClientOptions options_;
+
+private:
+  std::map<std::string, std::deque<Idle>> idle_;
+};
+
+class HttpClient::OneCall : public std::enable_shared_from_this<OneCall>
+{
+public:
+  OneCall(std::shared_ptr<Pool> aPool,
+          Address aAddress,
+          HttpRequest aRequest,
+          Duration aTimeout,
+          Callback aCallback)
+    : pool_(std::move(aPool))
+    , address_(std::move(aAddress))
+    , request_(ToBeast(address_, aRequest))
+    , timeout_(aTimeout)
+    , callback_(std::move(aCallback))
+  {
+  }
+
+  void Start()
+  {
+    stream_ = pool_->Take(address_);
+    reused_ = stream_ != nullptr;
+    if (reused_) {
+      stream_->expires_after(ToSteady(timeout_));
+      Write();
+    } else {
+      Connect();
+    }
+  }
+
+private:
+  void Connect()
+  {
+    reused_ = false;
+    buffer_.clear();
+    parser_.emplace();
+    stream_ = std::make_unique<beast::tcp_stream>(pool_->context_);
+    stream_->expires_after(ToSteady(timeout_));
+    stream_->async_connect(ToEndpoint(address_),
+                           [self = shared_from_this()](ErrorCode aError) {
+                             if (aError) {
+                               self->Finish(std::nullopt, ToError(aError));
+                               return;
+                             }
+                             self->Write();
+                           });
+  }
+
+  void Write()
+  {
+    parser_.emplace();
+    parser_->body_limit(pool_->options_.maxBodyBytes_);
+    parser_->header_limit(kMaxHeaderBytes);
+    http::async_write(
+      *stream_,
+      request_,
+      [self = shared_from_this()](ErrorCode aError, std::size_t) {
+        if (aError) {
+          self->Fail(aError);
+          return;
+        }
+        self->Read();
+      });
+  }
+
+  void Read()
+  {
+    http::async_read(
+      *stream_,
+      buffer_,
+      *parser_,
+      [self = shared_from_this()](ErrorCode aError, std::size_t) {
+        if (aError) {
+          self->Fail(aError);
+          return;
+        }
+        self->Complete();
+      });
+  }
+
+  void Fail(const ErrorCode& aError)
+  {
+    const bool closedWhileIdle = reused_ && aError != beast::error::timeout;
+    if (closedWhileIdle && request_.method() == http::verb::get) {
+      Connect();
+      return;
+    }
+    Finish(std::nullopt, ToError(aError));
+  }
+
+  void Complete()
+  {
+    auto message = parser_->release();
+    HttpResponse response;
+    response.status_ = static_cast<int>(message.result_int());
+    response.headers_ = ToHeaders(message);
+    response.body_ = std::move(message.body());
+    if (message.keep_alive()) {
+      pool_->Return(address_, std::move(stream_));
+    }
+    Finish(std::move(response), {});
+  }
+
+  void Finish(std::optional<HttpResponse> aResponse, const Error& aError)
+  {
+    stream_.reset();
+    const Callback callback = std::move(callback_);
+    callback(std::move(aResponse), aError);
+  }
+
+  std::shared_ptr<Pool> pool_;
+  Address address_;
+  http::request<http::string_body> request_;
+  Duration timeout_;
+  Callback callback_;
+  std::unique_ptr<beast::tcp_stream> stream_;
+  bool reused_ = false;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+class HttpClient::OneStream
+  : public HttpStream
+  , public std::enable_shared_from_this<OneStream>
+{
+public:
+  OneStream(asio::io_context& aContext,
+            const Address& aAddress,
+            const HttpRequest& aRequest,
+            Duration aTimeout,
+            Duration aSilence,
+            HttpStreamHooks aHooks)
+    : address_(aAddress)
+    , request_(ToBeast(aAddress, aRequest))
+    , silence_(aSilence)
+    , hooks_(std::move(aHooks))
+    , stream_(aContext)
+  {
+    stream_.expires_after(ToSteady(aTimeout));
+    parser_.body_limit(boost::none);
+    parser_.header_limit(kMaxHeaderBytes);
+  }
+
+  void Start()
+  {
+    stream_.async_connect(ToEndpoint(address_),
+                          [self = shared_from_this()](ErrorCode aError) {
+                            if (self->Ended(aError)) {
+                              return;
+                            }
+                            self->Write();
+                          });
+  }
+
+  void Cancel() override
+  {
+    cancelled_ = true;
+    stream_.close();
+  }
+
+private:
+  bool Ended(const ErrorCode& aError)
+  {
+    if (cancelled_) {
+      return true;
+    }
+    if (aError) {
+      End(ToError(aError));
+      return true;
+    }
+    return false;
+  }
+
+  void End(const Error& aError)
+  {
+    cancelled_ = true;
+    stream_.close();
+    hooks_.onEnd_(aError);
+  }
+
+  void Write()
+  {
+    http::async_write(
+      stream_,
+      request_,
+      [self = shared_from_this()](ErrorCode aError, std::size_t) {
+        if (!self->Ended(aError)) {
+          self->ReadHead();
+        }
+      });
+  }
+
+  void ReadHead()
+  {
+    http::async_read_header(
+      stream_,
+      buffer_,
+      parser_,
+      [self = shared_from_this()](ErrorCode aError, std::size_t) {
+        if (self->Ended(aError)) {
+          return;
+        }
+        if (self->hooks_.onHead_) {
+          self->hooks_.onHead_(
+            static_cast<int>(self->parser_.get().result_int()));
+        }
+        self->ReadPiece();
+      });
+  }
+
+  void ReadPiece()
+  {
+    if (cancelled_) {
+      return;
+    }
+    if (parser_.is_done()) {
+      End({ ErrorKind::PeerUnreachable, "the stream ended" });
+      return;
+    }
+    stream_.expires_after(ToSteady(silence_));
+    parser_.get().body().data = piece_.data();
+    parser_.get().body().size = piece_.size();
+    http::async_read_some(
+      stream_,
+      buffer_,
+      parser_,
+      [self = shared_from_this()](ErrorCode aError, std::size_t) {
+        if (aError == http::error::need_buffer) {
+          aError = {};
+        }
+        if (!self->Ended(aError)) {
+          self->TakePiece();
+        }
+      });
+  }
+
+  void TakePiece()
+  {
+    const std::size_t size = piece_.size() - parser_.get().body().size;
+    if (size > 0) {
+      hooks_.onPiece_({ piece_.data(), size });
+    }
+    ReadPiece();
+  }
+
+  Address address_;
+  http::request<http::string_body> request_;
+  Duration silence_;
+  HttpStreamHooks hooks_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  http::response_parser<http::buffer_body> parser_;
+  std::array<char, 16 * 1024> piece_{};
+  bool cancelled_ = false;
+};
+
+HttpClient::HttpClient(asio::io_context& aContext, HttpClientOptions aOptions)
+  : pool_(std::make_shared<Pool>(aContext, aOptions))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void
+HttpClient::Call(const Address& aAddress,
+                 HttpRequest aRequest,
+                 Duration aTimeout,
+                 Callback aCallback)
+{
+  std::make_shared<OneCall>(
+    pool_, aAddress, std::move(aRequest), aTimeout, std::move(aCallback))
+    ->Start();
+}
+
+std::shared_ptr<HttpStream>
+HttpClient::Stream(const Address& aAddress,
+                   HttpRequest aRequest,
+                   Duration aTimeout,
+                   Duration aSilence,
+                   HttpStreamHooks aHooks)
+{
+  auto stream = std::make_shared<OneStream>(
+    pool_->context_, aAddress, aRequest, aTimeout, aSilence, std::move(aHooks));
+  stream->Start();
+  return stream;
+}
+
+}
--- /dev/null
+++ b/src/http/HttpServer.cc
@@ -0,0 +1,308 @@
+#include "http/HttpServer.h"
+
+#include "http/BeastTypes.h"
+
+#include <deque>
+
+namespace peridotsail {
+
+using namespace detail;
+
+struct HttpServer::Impl : public std::enable_shared_from_this<Impl>
+{
+  Impl(asio::io_context& aContext, HttpServerOptions aOptions, Handler aHandler)
+    : context_(aContext)
+    , options_(aOptions)
+    , handler_(std::move(aHandler))
+    , acceptor_(aContext)
+  {
+  }
+
+  void Accept();
+
+  asio::io_context& context_;
+  HttpServerOptions options_;
+  Handler handler_;
+  tcp::acceptor acceptor_;
+  std::size_t connections_ = 0;
+};
+
+namespace {
+
+// One connection; also the reply to the request that it handles at the moment.
+class Session
+  : public HttpReply
+  , public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket aSocket, std::shared_ptr<HttpServer::Impl> aServer);
+  ~Session() override;
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void ReadRequest();
+  void Send(HttpResponse aResponse) override;
+  void Begin(int aStatus, const HttpHeaders& aHeaders) override;
+  bool Write(std::string aPiece) override;
+  void End() override;
+  void Abort() override;
+
+private:
+  void OnRequest(const ErrorCode& aError);
+  void SendMalformed(const ErrorCode& aError);
+  void Enqueue(std::string aBytes);
+  void WriteNext();
+  void OnWritten(const ErrorCode& aError);
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<HttpServer::Impl> server_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  bool keepAlive_ = false;
+  bool closed_ = false;
+  // Set when the last piece of a response is in the queue.
+  bool complete_ = false;
+  std::deque<std::string> queue_;
+};
+
+// The size of unsent pieces at which a streamed response is given up.
+constexpr std::size_t kMaxQueuedPieces = 1000;
+
+std::string
+Serialize(int aStatus, const HttpHeaders& aHeaders, const std::string* aBody)
+{
+  http::response<http::string_body> response;
+  response.version(11);
+  response.result(static_cast<unsigned>(aStatus));
+  SetHeaders(response, aHeaders);
+  if (aBody != nullptr) {
+    response.body() = *aBody;
+    response.prepare_payload();
+  } else {
+    response.chunked(true);
+  }
+  std::ostringstream head;
+  head << response.base();
+  std::string bytes = head.str();
+  if (aBody != nullptr) {
+    bytes += *aBody;
+  }
+  return bytes;
+}
+
+Session::Session(tcp::socket aSocket, std::shared_ptr<HttpServer::Impl> aServer)
+  : stream_(std::move(aSocket))
+  , server_(std::move(aServer))
+{
+  ++server_->connections_;
+}
+
+Session::~Session()
+{
+  --server_->connections_;
+}
+
+void
+Session::ReadRequest()
+{
+  parser_.emplace();
+  parser_->header_limit(
+    static_cast<std::uint32_t>(server_->options_.maxHeaderBytes_));
+  parser_->body_limit(server_->options_.maxBodyBytes_);
+  complete_ = false;
+  stream_.expires_after(ToSteady(server_->options_.timeout_));
+  http::async_read(stream_,
+                   buffer_,
+                   *parser_,
+                   [self = shared_from_this()](ErrorCode aError, std::size_t) {
+                     self->OnRequest(aError);
+                   });
+}
+
+void
+Session::OnRequest(const ErrorCode& aError)
+{
+  if (aError) {
+    SendMalformed(aError);
+    return;
+  }
+  stream_.expires_never();
+  const auto& message = parser_->get();
+  HttpRequest request;
+  request.method_ = std::string(ToView(message.method_string()));
+  request.target_ = std::string(ToView(message.target()));
+  request.headers_ = ToHeaders(message);
+  request.body_ = message.body();
+  keepAlive_ = message.keep_alive();
+  server_->handler_(request, shared_from_this());
+}
+
+void
+Session::SendMalformed(const ErrorCode& aError)
+{
+  keepAlive_ = false;
+  if (aError == http::error::header_limit) {
+    Send({ 431, {}, "" });
+  } else if (aError == http::error::body_limit) {
+    Send({ 413, {}, "" });
+  } else if (aError.category() ==
+               http::make_error_code(http::error::bad_method).category() &&
+             aError != http::error::end_of_stream &&
+             aError != http::error::partial_message) {
+    Send({ 400, {}, "" });
+  }
+}
+
+void
+Session::Send(HttpResponse aResponse)
+{
+  if (!keepAlive_) {
+    aResponse.headers_.push_back({ "Connection", "close" });
+  }
+  complete_ = true;
+  Enqueue(Serialize(aResponse.status_, aResponse.headers_, &aResponse.body_));
+}
+
+void
+Session::Begin(int aStatus, const HttpHeaders& aHeaders)
+{
+  Enqueue(Serialize(aStatus, aHeaders, nullptr));
+}
+
+bool
+Session::Write(std::string aPiece)
+{
+  if (closed_ || queue_.size() > kMaxQueuedPieces) {
+    Abort();
+    return false;
+  }
+  std::ostringstream chunk;
+  chunk << std::hex << aPiece.size() << "\r\n" << aPiece << "\r\n";
+  Enqueue(chunk.str());
+  return true;
+}
+
+void
+Session::End()
+{
+  complete_ = true;
+  Enqueue("0\r\n\r\n");
+}
+
+void
+Session::Abort()
+{
+  closed_ = true;
+  stream_.close();
+}
+
+void
+Session::Enqueue(std::string aBytes)
+{
+  if (closed_) {
+    return;
+  }
+  queue_.push_back(std::move(aBytes));
+  if (queue_.size() == 1) {
+    WriteNext();
+  }
+}
+
+void
+Session::WriteNext()
+{
+  stream_.expires_after(ToSteady(server_->options_.timeout_));
+  asio::async_write(stream_,
+                    asio::buffer(queue_.front()),
+                    [self = shared_from_this()](ErrorCode aError, std::size_t) {
+                      self->OnWritten(aError);
+                    });
+}
+
+void
+Session::OnWritten(const ErrorCode& aError)
+{
+  if (aError) {
+    Abort();
+    return;
+  }
+  queue_.pop_front();
+  if (!queue_.empty()) {
+    WriteNext();
+    return;
+  }
+  stream_.expires_never();
+  if (!complete_) {
+    return;
+  }
+  if (keepAlive_) {
+    ReadRequest();
+    return;
+  }
+  ErrorCode ignored;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  closed_ = true;
+}
+
+}
+
+void
+HttpServer::Impl::Accept()
+{
+  acceptor_.async_accept(
+    [self = shared_from_this()](ErrorCode aError, tcp::socket aSocket) {
+      if (!self->acceptor_.is_open()) {
+        return;
+      }
+      if (!aError && self->connections_ < self->options_.maxConnections_) {
+        std::make_shared<Session>(std::move(aSocket), self)->ReadRequest();
+      }
+      self->Accept();
+    });
+}
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       HttpServerOptions aOptions,
+                       Handler aHandler)
+  : impl_(std::make_shared<Impl>(aContext, aOptions, std::move(aHandler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  Close();
+}
+
+bool
+HttpServer::Listen(const Address& aAddress, Error& aError)
+{
+  try {
+    const tcp::endpoint endpoint = ToEndpoint(aAddress);
+    impl_->acceptor_.open(endpoint.protocol());
+    impl_->acceptor_.set_option(asio::socket_base::reuse_address(true));
+    impl_->acceptor_.bind(endpoint);
+    impl_->acceptor_.listen();
+  } catch (const boost::system::system_error& error) {
+    aError = { ErrorKind::Internal,
+               "cannot listen on " + aAddress.ip_ + ":" +
+                 std::to_string(aAddress.port_) + ": " + error.what() };
+    return false;
+  }
+  impl_->Accept();
+  return true;
+}
+
+std::uint16_t
+HttpServer::Port() const
+{
+  return impl_->acceptor_.local_endpoint().port();
+}
+
+void
+HttpServer::Close()
+{
+  ErrorCode ignored;
+  impl_->acceptor_.close(ignored);
+}
+
+}
--- /dev/null
+++ b/src/http/HttpServer.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// An asynchronous HTTP/1.1 server for small buffered requests: the operators'
+// port and the simulated platform. Runs on one io_context.
+//
+//   HttpServer server(ioContext, {}, [](const HttpRequest& request,
+//                                       std::shared_ptr<HttpReply> reply) {
+//     reply->Send({ 200, {}, "hello" });
+//   });
+//   Error error;
+//   if (!server.Listen(address, error)) { ... }
+
+#include "base/BootClock.h"
+#include "base/ErrorKind.h"
+#include "http/HttpTypes.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace peridotsail {
+
+struct HttpServerOptions
+{
+  std::size_t maxHeaderBytes_ = 16 * 1024;
+  std::size_t maxBodyBytes_ = 4 << 20;
+  // Time for reading a request or writing a response.
+  Duration timeout_ = std::chrono::seconds(30);
+  // Further connections are closed at once.
+  std::size_t maxConnections_ = 1000;
+};
+
+// The answer to one request. Either Send, or Begin, Write and End.
+class HttpReply
+{
+public:
+  virtual ~HttpReply() = default;
+  virtual void Send(HttpResponse aResponse) = 0;
+  // Starts a chunked response.
+  virtual void Begin(int aStatus, const HttpHeaders& aHeaders) = 0;
+  // Returns false when the connection is gone.
+  virtual bool Write(std::string aPiece) = 0;
+  virtual void End() = 0;
+  // Closes the connection without an answer.
+  virtual void Abort() = 0;
+};
+
+class HttpServer
+{
+public:
+  using Handler =
+    std::function<void(const HttpRequest&, std::shared_ptr<HttpReply>)>;
+
+  HttpServer(boost::asio::io_context& aContext,
+             HttpServerOptions aOptions,
+             Handler aHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Returns false and sets aError when the port cannot be opened.
+  bool Listen(const Address& aAddress, Error& aError);
+  // The port in use; differs from the requested one when that was 0.
+  std::uint16_t Port() const;
+  // Stops accepting; open connections go on.
+  void Close();
+
+  struct Impl;
+
+private:
+  std::shared_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/src/http/HttpTypes.h
@@ -0,0 +1,63 @@
+#pragma once
+
+// Plain HTTP messages and addresses, without the types of the HTTP library.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotsail {
+
+struct HttpHeader
+{
+  std::string name_;
+  std::string value_;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// The value of the first header with this name, compared without case; null
+// when there is none.
+const std::string*
+FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
+
+bool
+EqualIgnoreCase(std::string_view aLeft, std::string_view aRight);
+
+struct HttpRequest
+{
+  std::string method_ = "GET";
+  std::string target_ = "/";
+  HttpHeaders headers_;
+  std::string body_;
+};
+
+struct HttpResponse
+{
+  int status_ = 200;
+  HttpHeaders headers_;
+  std::string body_;
+};
+
+// An IP address and a port.
+struct Address
+{
+  std::string ip_;
+  std::uint16_t port_ = 0;
+};
+
+// Parses "127.0.0.1:80" or "[::1]:80"; names are not resolved.
+std::optional<Address>
+ParseAddress(std::string_view aText);
+
+// The path of a request target, without its query.
+std::string_view
+PathOf(std::string_view aTarget);
+
+// The decoded value of a query parameter, or nothing.
+std::optional<std::string>
+QueryParameter(std::string_view aTarget, std::string_view aName);
+
+}
--- /dev/null
+++ b/src/http/testing/HttpTest.cc
@@ -0,0 +1,164 @@
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace peridotsail;
+
+namespace {
+
+// A server on a thread of its own that echoes the body.
+class EchoServer
+{
+public:
+  EchoServer()
+    : server_(context_,
+              Options(),
+              [](const HttpRequest& aRequest, auto aReply) {
+                if (aRequest.target_ == "/stream") {
+                  aReply->Begin(200, {});
+                  aReply->Write("one\n");
+                  aReply->Write("two\n");
+                  aReply->End();
+                } else if (aRequest.target_ == "/lost") {
+                  aReply->Abort();
+                } else {
+                  aReply->Send({ 200, { { "X-Echo", "1" } }, aRequest.body_ });
+                }
+              })
+  {
+    Error error;
+    REQUIRE(server_.Listen({ "127.0.0.1", 0 }, error));
+    address_ = { "127.0.0.1", server_.Port() };
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~EchoServer()
+  {
+    context_.stop();
+    thread_.join();
+  }
+
+  static HttpServerOptions Options()
+  {
+    HttpServerOptions options;
+    options.maxBodyBytes_ = 1000;
+    options.maxHeaderBytes_ = 1000;
+    return options;
+  }
+
+  // Sends raw bytes and returns all that comes back.
+  std::string Exchange(const std::string& aBytes)
+  {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(
+      { boost::asio::ip::make_address("127.0.0.1"), address_.port_ });
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(aBytes), ignored);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+    return answer;
+  }
+
+  Address address_;
+
+private:
+  boost::asio::io_context context_;
+  HttpServer server_;
+  std::thread thread_;
+};
+
+}
+
+TEST_CASE("addresses and targets are parsed strictly")
+{
+  CHECK(ParseAddress("127.0.0.1:80")->port_ == 80);
+  CHECK(ParseAddress("[::1]:80")->ip_ == "::1");
+  for (const char* bad : { "",
+                           ":80",
+                           "127.0.0.1",
+                           "127.0.0.1:",
+                           "name:80",
+                           "127.0.0.1:70000",
+                           "127.0.0.1:8x" }) {
+    INFO(bad);
+    CHECK_FALSE(ParseAddress(bad));
+  }
+  CHECK(PathOf("/a/b?c=d") == "/a/b");
+  CHECK(QueryParameter("/a?x=1&block=10.0.0.0%2F24", "block") == "10.0.0.0/24");
+  CHECK_FALSE(QueryParameter("/a?x=1", "y"));
+}
+
+// Guards the reuse of connections, streams and lost answers.
+TEST_CASE("the client gets answers, streams and errors")
+{
+  EchoServer server;
+  boost::asio::io_context context;
+  HttpClient client(context, {});
+  int answered = 0;
+  for (int i = 0; i < 3; ++i) {
+    client.Call(server.address_,
+                { "POST", "/", {}, "hello" },
+                std::chrono::seconds(20),
+                [&](auto aResponse, const Error&) {
+                  REQUIRE(aResponse);
+                  CHECK(aResponse->body_ == "hello");
+                  CHECK(*FindHeader(aResponse->headers_, "x-echo") == "1");
+                  ++answered;
+                });
+    context.run();
+    context.restart();
+  }
+  CHECK(answered == 3);
+  bool failed = false;
+  client.Call(server.address_,
+              { "POST", "/lost", {}, "" },
+              std::chrono::seconds(20),
+              [&](auto aResponse, const Error&) { failed = !aResponse; });
+  std::string streamed;
+  bool ended = false;
+  HttpStreamHooks hooks;
+  hooks.onPiece_ = [&](std::string_view aPiece) { streamed += aPiece; };
+  hooks.onEnd_ = [&](const Error&) { ended = true; };
+  const auto stream = client.Stream(server.address_,
+                                    { "GET", "/stream", {}, "" },
+                                    std::chrono::seconds(20),
+                                    std::chrono::seconds(20),
+                                    hooks);
+  context.run();
+  CHECK(failed);
+  CHECK(streamed == "one\ntwo\n");
+  CHECK(ended);
+}
+
+// Guards against memory growth and crashes by malformed input.
+TEST_CASE("malformed and oversized requests get an error status")
+{
+  struct Row
+  {
+    std::string bytes_;
+    const char* status_;
+  };
+  const Row rows[] = {
+    { "nonsense\r\n\r\n", "HTTP/1.1 400" },
+    { "GET / HTTP/1.1\r\nX: " + std::string(5000, 'a') + "\r\n\r\n",
+      "HTTP/1.1 431" },
+    { "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" +
+        std::string(5000, 'a'),
+      "HTTP/1.1 413" },
+    { "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "HTTP/1.1 400" },
+  };
+  EchoServer server;
+  for (const Row& row : rows) {
+    INFO(row.bytes_.substr(0, 60));
+    CHECK(server.Exchange(row.bytes_).rfind(row.status_, 0) == 0);
+  }
+  CHECK(server.Exchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+          .rfind("HTTP/1.1 200", 0) == 0);
+}
--- /dev/null
+++ b/src/peer/CborReader.h
@@ -0,0 +1,156 @@
+#pragma once
+
+// Checked access to the fields of a decoded CBOR map. Included by .cc files
+// that decode peer messages.
+//
+//   CborReader reader(bytes);
+//   message.id_ = reader.Unsigned("id");
+//   message.name_ = reader.Text("name", 100);
+//   if (!reader.Valid()) { return std::nullopt; }
+
+#include <cstdint>
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace peridotsail {
+
+class CborReader
+{
+public:
+  explicit CborReader(std::string_view aBytes)
+    : map_(Parse(aBytes))
+    , valid_(map_.is_object())
+  {
+  }
+
+  explicit CborReader(nlohmann::json aMap)
+    : map_(std::move(aMap))
+    , valid_(map_.is_object())
+  {
+  }
+
+  // False when any field so far was missing, of another type or too large.
+  bool Valid() const { return valid_; }
+
+  bool Has(const char* aField) const { return valid_ && map_.contains(aField); }
+
+  std::uint64_t Unsigned(const char* aField)
+  {
+    const nlohmann::json* value = Find(aField);
+    if (value == nullptr || !value->is_number_unsigned()) {
+      valid_ = false;
+      return 0;
+    }
+    return value->get<std::uint64_t>();
+  }
+
+  std::int64_t Signed(const char* aField)
+  {
+    const nlohmann::json* value = Find(aField);
+    if (value == nullptr || !value->is_number_integer()) {
+      valid_ = false;
+      return 0;
+    }
+    return value->get<std::int64_t>();
+  }
+
+  double Number(const char* aField)
+  {
+    const nlohmann::json* value = Find(aField);
+    if (value == nullptr || !value->is_number()) {
+      valid_ = false;
+      return 0;
+    }
+    return value->get<double>();
+  }
+
+  bool Flag(const char* aField)
+  {
+    const nlohmann::json* value = Find(aField);
+    if (value == nullptr || !value->is_boolean()) {
+      valid_ = false;
+      return false;
+    }
+    return value->get<bool>();
+  }
+
+  std::string Text(const char* aField, std::size_t aMaxBytes)
+  {
+    const nlohmann::json* value = Find(aField);
+    if (value == nullptr || !value->is_string() ||
+        value->get_ref<const std::string&>().size() > aMaxBytes) {
+      valid_ = false;
+      return "";
+    }
+    return value->get<std::string>();
+  }
+
+  std::string Binary(const char* aField, std::size_t aMaxBytes)
+  {
+    const nlohmann::json* value = Find(aField);
+    if (value == nullptr || !value->is_binary() ||
+        value->get_binary().size() > aMaxBytes) {
+      valid_ = false;
+      return "";
+    }
+    const auto& bytes = value->get_binary();
+    return std::string(bytes.begin(), bytes.end());
+  }
+
+  // An array of at most aMaxItems elements; empty when it is invalid.
+  const nlohmann::json& Array(const char* aField, std::size_t aMaxItems)
+  {
+    static const nlohmann::json kEmpty = nlohmann::json::array();
+    const nlohmann::json* value = Find(aField);
+    if (value == nullptr || !value->is_array() || value->size() > aMaxItems) {
+      valid_ = false;
+      return kEmpty;
+    }
+    return *value;
+  }
+
+private:
+  // from_cbor throws for excessive sizes although exceptions are switched off.
+  static nlohmann::json Parse(std::string_view aBytes)
+  {
+    try {
+      return nlohmann::json::from_cbor(
+        aBytes.begin(), aBytes.end(), true, false);
+    } catch (const std::exception&) {
+      return nullptr;
+    }
+  }
+
+  const nlohmann::json* Find(const char* aField) const
+  {
+    if (!valid_) {
+      return nullptr;
+    }
+    const auto found = map_.find(aField);
+    return found == map_.end() ? nullptr : &*found;
+  }
+
+  nlohmann::json map_;
+  bool valid_;
+};
+
+// The CBOR encoding of a map as bytes.
+inline std::string
+ToCbor(const nlohmann::json& aMap)
+{
+  std::string bytes;
+  nlohmann::json::to_cbor(aMap, bytes);
+  return bytes;
+}
+
+// A CBOR byte string.
+inline nlohmann::json
+CborBinary(std::string_view aBytes)
+{
+  return nlohmann::json::binary(
+    std::vector<std::uint8_t>(aBytes.begin(), aBytes.end()));
+}
+
+}
--- /dev/null
+++ b/src/platform/HostListClient.cc
@@ -0,0 +1,199 @@
+#include "platform/HostListClient.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <tuple>
+
+namespace peridotsail {
+
+using nlohmann::json;
+
+namespace {
+
+// The region is a label of the slice, as the platform's topology label.
+constexpr char kRegionLabel[] = "topology.kubernetes.io/region";
+
+std::string
+TextOf(const json& aObject, const char* aField)
+{
+  const auto found = aObject.find(aField);
+  const bool usable = found != aObject.end() && found->is_string();
+  return usable ? found->get<std::string>() : "";
+}
+
+bool
+FlagOf(const json& aObject, const char* aField)
+{
+  const auto found = aObject.find(aField);
+  return found != aObject.end() && found->is_boolean() && found->get<bool>();
+}
+
+std::map<std::string, int>
+ReadPorts(const json& aSlice)
+{
+  std::map<std::string, int> ports;
+  for (const json& port : aSlice.value("ports", json::array())) {
+    if (port.is_object() && port.contains("port") &&
+        port["port"].is_number_integer()) {
+      ports[TextOf(port, "name")] = port["port"].get<int>();
+    }
+  }
+  return ports;
+}
+
+std::string
+JoinAddress(const std::string& aIp,
+            const std::map<std::string, int>& aPorts,
+            const char* aPort)
+{
+  const auto found = aPorts.find(aPort);
+  if (found == aPorts.end()) {
+    return "";
+  }
+  const std::string ip =
+    aIp.find(':') == std::string::npos ? aIp : "[" + aIp + "]";
+  return ip + ":" + std::to_string(found->second);
+}
+
+std::optional<ListedHost>
+ReadEndpoint(const json& aEndpoint,
+             const std::string& aRegion,
+             const std::map<std::string, int>& aPorts)
+{
+  if (!aEndpoint.is_object()) {
+    return std::nullopt;
+  }
+  const json addresses = aEndpoint.value("addresses", json::array());
+  if (!addresses.is_array() || addresses.empty() || !addresses[0].is_string()) {
+    return std::nullopt;
+  }
+  const std::string ip = addresses[0].get<std::string>();
+  const json conditions = aEndpoint.value("conditions", json::object());
+  ListedHost host;
+  host.name_ = TextOf(aEndpoint, "hostname");
+  host.region_ = aRegion;
+  host.failureDomain_ = TextOf(aEndpoint, "zone");
+  host.callersAddress_ = JoinAddress(ip, aPorts, "callers");
+  host.peersAddress_ = JoinAddress(ip, aPorts, "peers");
+  host.operatorsAddress_ = JoinAddress(ip, aPorts, "operators");
+  host.leaving_ = conditions.is_object() && FlagOf(conditions, "terminating");
+  if (host.name_.empty()) {
+    return std::nullopt;
+  }
+  return host;
+}
+
+void
+ReadSlice(const json& aSlice, std::vector<ListedHost>& aHosts)
+{
+  if (!aSlice.is_object()) {
+    return;
+  }
+  const json metadata = aSlice.value("metadata", json::object());
+  const json labels = metadata.is_object()
+                        ? metadata.value("labels", json::object())
+                        : json::object();
+  const std::string region =
+    labels.is_object() ? TextOf(labels, kRegionLabel) : "";
+  const std::map<std::string, int> ports = ReadPorts(aSlice);
+  for (const json& endpoint : aSlice.value("endpoints", json::array())) {
+    if (const auto host = ReadEndpoint(endpoint, region, ports)) {
+      aHosts.push_back(*host);
+    }
+  }
+}
+
+}
+
+bool
+ListedHost::operator==(const ListedHost& aOther) const
+{
+  const auto fields = [](const ListedHost& aHost) {
+    return std::tie(aHost.name_,
+                    aHost.region_,
+                    aHost.failureDomain_,
+                    aHost.callersAddress_,
+                    aHost.peersAddress_,
+                    aHost.operatorsAddress_,
+                    aHost.leaving_);
+  };
+  return fields(*this) == fields(aOther);
+}
+
+std::optional<std::vector<ListedHost>>
+ParseHostList(const std::string& aText)
+{
+  const json list = json::parse(aText, nullptr, false);
+  if (!list.is_object() || !list.contains("items") ||
+      !list["items"].is_array()) {
+    return std::nullopt;
+  }
+  std::vector<ListedHost> hosts;
+  try {
+    for (const json& slice : list["items"]) {
+      ReadSlice(slice, hosts);
+    }
+  } catch (const json::exception&) {
+    // A field has a type that the EndpointSlice schema does not allow.
+    return std::nullopt;
+  }
+  std::sort(hosts.begin(),
+            hosts.end(),
+            [](const ListedHost& aLeft, const ListedHost& aRight) {
+              return aLeft.name_ < aRight.name_;
+            });
+  return hosts;
+}
+
+struct HostListClient::Impl
+{
+  Impl(boost::asio::io_context& aContext, HostListOptions aOptions)
+    : client_(aContext, {})
+    , options_(std::move(aOptions))
+  {
+  }
+
+  HttpClient client_;
+  HostListOptions options_;
+};
+
+HostListClient::HostListClient(boost::asio::io_context& aContext,
+                               HostListOptions aOptions)
+  : impl_(std::make_unique<Impl>(aContext, std::move(aOptions)))
+{
+}
+
+HostListClient::~HostListClient() = default;
+
+void
+HostListClient::Read(const std::string& aService, Callback aCallback)
+{
+  HttpRequest request;
+  request.target_ =
+    "/apis/discovery.k8s.io/v1/namespaces/default/endpointslices"
+    "?labelSelector=kubernetes.io/service-name=" +
+    aService;
+  impl_->client_.Call(
+    impl_->options_.address_,
+    std::move(request),
+    impl_->options_.timeout_,
+    [callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
+                                      const Error& aError) {
+      if (!aResponse) {
+        callback(std::nullopt, aError);
+        return;
+      }
+      auto hosts = aResponse->status_ == 200 ? ParseHostList(aResponse->body_)
+                                             : std::nullopt;
+      if (!hosts) {
+        callback(
+          std::nullopt,
+          { ErrorKind::Internal, "the host list's answer is malformed" });
+        return;
+      }
+      callback(std::move(hosts), {});
+    });
+}
+
+}
--- /dev/null
+++ b/src/proxy/BackendExchange.cc
@@ -0,0 +1,441 @@
+#include "proxy/BackendExchange.h"
+
+#include <algorithm>
+#include <array>
+
+namespace peridotsail::detail {
+
+namespace {
+
+constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+
+// How often deadlines and progress are checked.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
+
+bool
+StatesNotRun(const HttpHeaders& aHeaders)
+{
+  const std::string* state = FindHeader(aHeaders, "Execution-State");
+  return state != nullptr && *state == NameOf(ExecutionState::NotRun);
+}
+
+bool
+IsHopByHop(const std::string& aName)
+{
+  constexpr std::array<const char*, 12> kNames{ "Authorization",
+                                                "Connection",
+                                                "Content-Length",
+                                                "Expect",
+                                                "Keep-Alive",
+                                                "Proxy-Authenticate",
+                                                "Proxy-Authorization",
+                                                "TE",
+                                                "Trailer",
+                                                "Transfer-Encoding",
+                                                "Upgrade",
+                                                "Request-Timeout" };
+  return std::any_of(kNames.begin(), kNames.end(), [&](const char* aOther) {
+    return EqualIgnoreCase(aName, aOther);
+  });
+}
+
+// Whether the Connection header names this header.
+bool
+IsListed(const std::string& aConnection, const std::string& aName)
+{
+  std::string_view rest = aConnection;
+  while (!rest.empty()) {
+    std::string_view item = rest.substr(0, rest.find(','));
+    rest.remove_prefix(std::min(rest.size(), item.size() + 1));
+    const std::size_t start = item.find_first_not_of(" \t");
+    const std::size_t end = item.find_last_not_of(" \t");
+    if (start != std::string_view::npos &&
+        EqualIgnoreCase(item.substr(start, end - start + 1), aName)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}
+
+HttpHeaders
+ForwardableHeaders(const HttpHeaders& aHeaders)
+{
+  const std::string* connection = FindHeader(aHeaders, "Connection");
+  HttpHeaders kept;
+  for (const HttpHeader& header : aHeaders) {
+    const bool listed =
+      connection != nullptr && IsListed(*connection, header.name_);
+    if (!listed && !IsHopByHop(header.name_)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+BackendExchange::BackendExchange(BackendConnections& aConnections,
+                                 IncomingRequestPtr aRequest,
+                                 RequestHead aHead,
+                                 ExchangeOptions aOptions,
+                                 Done aDone)
+  : connections_(aConnections)
+  , incoming_(std::move(aRequest))
+  , head_(std::move(aHead))
+  , options_(std::move(aOptions))
+  , done_(std::move(aDone))
+  , timer_(aConnections.Context())
+{
+}
+
+void
+BackendExchange::Start()
+{
+  lastProgress_ = BootClock::now();
+  incoming_->SetOnCancelled([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->result_.callerGone_ = true;
+      self->Cancel(
+        { ErrorKind::BadRequest, "the caller closed the connection" });
+    }
+  });
+  ArmTimer();
+  if (options_.reuseConnection_) {
+    connection_ = connections_.TakeIdle(options_.serverAddress_);
+  }
+  if (connection_ != nullptr) {
+    result_.reusedConnection_ = true;
+    SendHead();
+    return;
+  }
+  Connect();
+}
+
+void
+BackendExchange::Cancel(const Error& aError)
+{
+  Fail(aError);
+}
+
+void
+BackendExchange::Connect()
+{
+  connection_ = connections_.MakeNew(options_.serverAddress_);
+  const auto address = ParseAddress(options_.serverAddress_);
+  if (!address) {
+    Fail({ ErrorKind::Internal, "the backend server's address is malformed" });
+    return;
+  }
+  connection_->stream_.expires_after(ToSteady(options_.connectLimit_));
+  connection_->stream_.async_connect(
+    ToEndpoint(*address), [self = shared_from_this()](ErrorCode aError) {
+      if (self->finished_) {
+        return;
+      }
+      if (aError) {
+        self->result_.connectFailed_ = true;
+        self->Fail({ ErrorKind::NoBackendServer,
+                     "cannot connect to the backend server" });
+        return;
+      }
+      ErrorCode ignored;
+      self->connection_->stream_.expires_never();
+      self->connection_->stream_.socket().set_option(tcp::no_delay(true),
+                                                     ignored);
+      self->SendHead();
+    });
+}
+
+void
+BackendExchange::SendHead()
+{
+  request_.version(11);
+  SetMethod(request_, head_.method_);
+  request_.target(head_.target_);
+  SetHeaders(request_, head_.headers_);
+  const Duration remaining = options_.deadline_ - BootClock::now();
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+  request_.set("Request-Timeout",
+               std::to_string(std::max<long>(0, milliseconds)));
+  if (head_.contentLength_) {
+    request_.content_length(*head_.contentLength_);
+  } else if (head_.hasBody_) {
+    request_.chunked(true);
+  }
+  request_.body().data = nullptr;
+  request_.body().more = head_.hasBody_;
+  serializer_.emplace(request_);
+  // From here on the server may have received a part of the request.
+  result_.execution_ = ExecutionState::Unknown;
+  http::async_write_header(
+    connection_->stream_,
+    *serializer_,
+    [self = shared_from_this()](ErrorCode aError, std::size_t aBytes) {
+      if (self->finished_) {
+        return;
+      }
+      if (aError) {
+        if (aBytes == 0) {
+          self->result_.execution_ = ExecutionState::NotRun;
+        }
+        self->FailConnection(aError);
+        return;
+      }
+      self->Progress();
+      self->ReadHead();
+      if (self->head_.hasBody_) {
+        self->PumpRequestBody();
+      } else {
+        self->requestSent_ = true;
+      }
+    });
+}
+
+void
+BackendExchange::PumpRequestBody()
+{
+  result_.bodyTaken_ = true;
+  incoming_->ReadBody([self = shared_from_this()](
+                        std::optional<BodyPiece> aPiece, const Error& aError) {
+    if (self->finished_) {
+      return;
+    }
+    if (!aPiece) {
+      self->result_.callerGone_ = true;
+      self->Fail(aError);
+      return;
+    }
+    self->bodyBytes_ += aPiece->bytes_.size();
+    if (self->bodyBytes_ > self->options_.maxBodyBytes_) {
+      self->Fail({ ErrorKind::BodyTooLarge, "" });
+      return;
+    }
+    self->Progress();
+    self->WriteRequestPiece(std::move(*aPiece));
+  });
+}
+
+void
+BackendExchange::WriteRequestPiece(BodyPiece aPiece)
+{
+  outgoing_ = std::move(aPiece.bytes_);
+  request_.body().data = outgoing_.empty() ? nullptr : outgoing_.data();
+  request_.body().size = outgoing_.size();
+  request_.body().more = !aPiece.last_;
+  http::async_write(connection_->stream_,
+                    *serializer_,
+                    [self = shared_from_this(),
+                     last = aPiece.last_](ErrorCode aError, std::size_t) {
+                      if (self->finished_) {
+                        return;
+                      }
+                      if (aError && aError != http::error::need_buffer) {
+                        // The response may already be on its way; the read
+                        // reports the end.
+                        return;
+                      }
+                      self->Progress();
+                      if (last) {
+                        self->requestSent_ = true;
+                      } else {
+                        self->PumpRequestBody();
+                      }
+                    });
+}
+
+void
+BackendExchange::ReadHead()
+{
+  parser_.emplace();
+  parser_->header_limit(kMaxResponseHeaderBytes);
+  parser_->body_limit(boost::none);
+  if (head_.method_ == "HEAD") {
+    parser_->skip(true);
+  }
+  http::async_read_header(
+    connection_->stream_,
+    connection_->buffer_,
+    *parser_,
+    [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      if (!self->finished_) {
+        self->OnResponseHead(aError);
+      }
+    });
+}
+
+void
+BackendExchange::OnResponseHead(const ErrorCode& aError)
+{
+  if (aError) {
+    FailConnection(aError);
+    return;
+  }
+  Progress();
+  if (parser_->get().result_int() == 100) {
+    ReadHead();
+    return;
+  }
+  headReceived_ = true;
+  result_.status_ = static_cast<int>(parser_->get().result_int());
+  if (StatesNotRun(ToHeaders(parser_->get()))) {
+    result_.shed_ = true;
+    result_.execution_ = ExecutionState::NotRun;
+    Fail({ ErrorKind::QueueFull, "the backend server shed the request" });
+    return;
+  }
+  ForwardHead();
+}
+
+void
+BackendExchange::ForwardHead()
+{
+  ResponseHead head;
+  head.status_ = result_.status_;
+  head.headers_ = ForwardableHeaders(ToHeaders(parser_->get()));
+  if (const auto length = parser_->content_length()) {
+    head.contentLength_ = *length;
+  }
+  incoming_->SendHead(std::move(head), [self = shared_from_this()](bool aOk) {
+    if (self->finished_) {
+      return;
+    }
+    if (!aOk) {
+      self->result_.callerGone_ = true;
+      self->Fail({ ErrorKind::BadRequest, "the caller is gone" });
+      return;
+    }
+    self->Progress();
+    self->PumpResponseBody();
+  });
+}
+
+void
+BackendExchange::PumpResponseBody()
+{
+  if (parser_->is_done()) {
+    incoming_->SendBody({ "", true }, [self = shared_from_this()](bool aOk) {
+      if (self->finished_) {
+        return;
+      }
+      self->result_.callerGone_ = !aOk;
+      self->Complete();
+    });
+    return;
+  }
+  parser_->get().body().data = piece_.data();
+  parser_->get().body().size = piece_.size();
+  http::async_read_some(
+    connection_->stream_,
+    connection_->buffer_,
+    *parser_,
+    [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      if (!self->finished_) {
+        self->ForwardPiece(aError);
+      }
+    });
+}
+
+void
+BackendExchange::ForwardPiece(const ErrorCode& aError)
+{
+  if (aError && aError != http::error::need_buffer) {
+    FailConnection(aError);
+    return;
+  }
+  Progress();
+  const std::size_t size = piece_.size() - parser_->get().body().size;
+  if (size == 0) {
+    PumpResponseBody();
+    return;
+  }
+  incoming_->SendBody(
+    { { piece_.data(), size }, false }, [self = shared_from_this()](bool aOk) {
+      if (self->finished_) {
+        return;
+      }
+      if (!aOk) {
+        self->result_.callerGone_ = true;
+        self->Fail({ ErrorKind::BadRequest, "the caller is gone" });
+        return;
+      }
+      self->Progress();
+      self->PumpResponseBody();
+    });
+}
+
+void
+BackendExchange::Complete()
+{
+  finished_ = true;
+  timer_.cancel();
+  incoming_->SetOnCancelled(nullptr);
+  result_.execution_ = ExecutionState::Complete;
+  // A connection on which the request body was not sent whole cannot be used
+  // for another request.
+  if (requestSent_ && parser_->get().keep_alive()) {
+    connections_.Return(std::move(connection_));
+  }
+  done_(result_);
+}
+
+void
+BackendExchange::FailConnection(const ErrorCode& aError)
+{
+  result_.connectionDied_ = true;
+  Fail({ ErrorKind::BackendFailed,
+         "the connection to the backend server ended: " + aError.message() });
+}
+
+void
+BackendExchange::Fail(const Error& aError)
+{
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  timer_.cancel();
+  incoming_->SetOnCancelled(nullptr);
+  result_.error_ = aError;
+  if (connection_ != nullptr) {
+    connection_->stream_.close();
+  }
+  done_(result_);
+}
+
+void
+BackendExchange::Progress()
+{
+  lastProgress_ = BootClock::now();
+}
+
+void
+BackendExchange::ArmTimer()
+{
+  timer_.expires_after(ToSteady(kCheckInterval));
+  timer_.async_wait([self = shared_from_this()](ErrorCode aError) {
+    if (!aError && !self->finished_) {
+      self->OnTimer();
+    }
+  });
+}
+
+void
+BackendExchange::OnTimer()
+{
+  const TimePoint now = BootClock::now();
+  if (!headReceived_ && now >= options_.deadline_) {
+    Fail({ ErrorKind::DeadlineExceeded, "" });
+    return;
+  }
+  if (now - lastProgress_ > options_.progressLimit_) {
+    if (connection_ != nullptr) {
+      result_.silentSince_ = connection_->openedAt_;
+    }
+    Fail({ ErrorKind::BackendStalled, "" });
+    return;
+  }
+  ArmTimer();
+}
+
+}
--- /dev/null
+++ b/src/proxy/CallerSession.h
@@ -0,0 +1,90 @@
+#pragma once
+
+// One caller's connection. A part of CallerServer; included by its .cc files.
+
+#include "http/BeastTypes.h"
+#include "proxy/CallerServer.h"
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace peridotsail {
+
+namespace detail {
+
+class CallerSession;
+
+}
+
+struct CallerServer::Impl : public std::enable_shared_from_this<Impl>
+{
+  Impl(boost::asio::io_context& aContext,
+       CallerServerOptions aOptions,
+       Handler aHandler);
+  void Accept();
+
+  boost::asio::io_context& context_;
+  CallerServerOptions options_;
+  Handler handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  // Sessions remove themselves when they end.
+  std::set<detail::CallerSession*> sessions_;
+  bool closing_ = false;
+};
+
+namespace detail {
+
+class CallerSession
+  : public IncomingRequest
+  , public std::enable_shared_from_this<CallerSession>
+{
+public:
+  CallerSession(tcp::socket aSocket,
+                std::shared_ptr<CallerServer::Impl> aServer);
+  ~CallerSession() override;
+
+  void Start();
+  void CloseIfIdle();
+
+  const RequestHead& Head() const override { return head_; }
+  void ReadBody(ReadCallback aCallback) override;
+  void SendHead(ResponseHead aHead, WriteCallback aCallback) override;
+  void SendBody(BodyPiece aPiece, WriteCallback aCallback) override;
+  void Abort() override;
+
+private:
+  using RequestParser = http::request_parser<http::buffer_body>;
+  using Response = http::response<http::buffer_body>;
+  using Serializer = http::response_serializer<http::buffer_body>;
+
+  void ReadHead();
+  void OnHead(const ErrorCode& aError);
+  void RefuseMalformed(const ErrorCode& aError);
+  void ReadPiece(ReadCallback aCallback);
+  void SendContinue(ReadCallback aCallback);
+  void WatchForDisconnect();
+  void FinishResponse();
+  void DiscardInput();
+  bool BodyAllowed() const;
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<CallerServer::Impl> server_;
+  beast::flat_buffer buffer_;
+  std::optional<RequestParser> parser_;
+  RequestHead head_;
+  Response response_;
+  std::optional<Serializer> serializer_;
+  std::string outgoing_;
+  std::array<char, 32 * 1024> piece_{};
+  bool idle_ = true;
+  bool closed_ = false;
+  bool keepAlive_ = false;
+  bool continueSent_ = false;
+  bool watching_ = false;
+};
+
+}
+
+}
--- /dev/null
+++ b/src/proxy/IncomingRequest.h
@@ -0,0 +1,93 @@
+#pragma once
+
+// A request whose body is read and whose response is written piece by piece,
+// whatever it came over: a caller's connection or a relay from a peer. Used on
+// the traffic thread only. At most one read and one write are pending at a
+// time.
+
+#include "base/ErrorKind.h"
+#include "http/HttpTypes.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace peridotsail {
+
+struct RequestHead
+{
+  std::string method_;
+  std::string target_;
+  HttpHeaders headers_;
+  bool hasBody_ = false;
+  // Nothing for a body of unknown length.
+  std::optional<std::uint64_t> contentLength_;
+};
+
+struct ResponseHead
+{
+  int status_ = 200;
+  // Without Content-Length and the hop-by-hop headers.
+  HttpHeaders headers_;
+  // Nothing for a body of unknown length.
+  std::optional<std::uint64_t> contentLength_;
+};
+
+struct BodyPiece
+{
+  std::string bytes_;
+  bool last_ = false;
+};
+
+class IncomingRequest
+{
+public:
+  using ReadCallback =
+    std::function<void(std::optional<BodyPiece>, const Error&)>;
+  // False when the receiver is gone.
+  using WriteCallback = std::function<void(bool)>;
+
+  IncomingRequest() = default;
+  virtual ~IncomingRequest() = default;
+  IncomingRequest(const IncomingRequest&) = delete;
+  IncomingRequest& operator=(const IncomingRequest&) = delete;
+
+  virtual const RequestHead& Head() const = 0;
+  // Gives the next piece; the last one may be empty. Never calls back before
+  // it returns.
+  virtual void ReadBody(ReadCallback aCallback) = 0;
+  virtual void SendHead(ResponseHead aHead, WriteCallback aCallback) = 0;
+  virtual void SendBody(BodyPiece aPiece, WriteCallback aCallback) = 0;
+  // Ends the response so that the receiver sees that it is incomplete.
+  virtual void Abort() = 0;
+
+  // True after the first call of SendHead.
+  bool HeadSent() const { return headSent_; }
+  // The hook runs at most once, when the sender of the request gives up before
+  // the response is complete.
+  void SetOnCancelled(std::function<void()> aHook)
+  {
+    onCancelled_ = std::move(aHook);
+  }
+
+protected:
+  void NotifyCancelled()
+  {
+    const auto hook = std::exchange(onCancelled_, nullptr);
+    if (hook) {
+      hook();
+    }
+  }
+
+  bool headSent_ = false;
+
+private:
+  std::function<void()> onCancelled_;
+};
+
+using IncomingRequestPtr = std::shared_ptr<IncomingRequest>;
+
+}
--- /dev/null
+++ b/src/proxy/RequestPipeline.h
@@ -0,0 +1,115 @@
+#pragma once
+
+// The path of a request through an entry host: look-up, route, key, rate,
+// choice of region and backend server, execution, retry, answer. Runs on the
+// traffic thread. Decisions are made by hooks; this class keeps their order and
+// states truthfully whether a refused request was run.
+//
+//   RequestPipeline pipeline(ioContext, options, hooks, relays, metrics);
+//   pipeline.Handle(request);          // from a caller
+//   pipeline.HandleRelayed(relayed);   // from a peer
+
+#include "base/Metrics.h"
+#include "config/Configuration.h"
+#include "proxy/ExchangeResult.h"
+#include "proxy/IncomingRequest.h"
+#include "proxy/Refusal.h"
+#include "proxy/RelayNode.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace peridotsail {
+
+struct PipelineOptions
+{
+  // An exchange without progress for longer is ended.
+  Duration progressLimit_ = std::chrono::seconds(10);
+  // Attempts on backend servers for one request.
+  int maxAttempts_ = 3;
+};
+
+// What a choice of backend server is made for.
+struct ServerQuery
+{
+  ConfigurationPtr configuration_;
+  const RouteConfig* route_ = nullptr;
+  // Empty on a route that is open to all.
+  std::string customer_;
+  TimePoint deadline_;
+  // Names of the backend servers that were tried for this request.
+  std::set<std::string> tried_;
+  bool relayed_ = false;
+};
+
+struct ServerChoice
+{
+  // Nothing when the request is refused.
+  std::optional<BackendServerConfig> server_;
+  Refusal refusal_;
+};
+
+struct RelayTarget
+{
+  std::string host_;
+  std::string region_;
+};
+
+// Each hook runs on the traffic thread.
+struct PipelineHooks
+{
+  // The configuration in force; null when there is none.
+  std::function<ConfigurationPtr()> configuration_;
+  // The body of the answer to a look-up.
+  std::function<std::string(const std::string& aBlock)> lookup_;
+  // The customer of the key in the Authorization header (null when there is
+  // none), or nothing and the error.
+  std::function<std::optional<std::string>(const std::string* aAuthorization,
+                                           Error& aError)>
+    authenticate_;
+  // Takes a token from the customer's budget; a refusal when there is none.
+  std::function<std::optional<Refusal>(const std::string& aCustomer)> admit_;
+  // Calls back, now or later, with a backend server of this region.
+  std::function<void(const ServerQuery&, std::function<void(ServerChoice)>)>
+    chooseServer_;
+  // Tells the outcome on a chosen server; runs once for each choice.
+  std::function<void(const BackendServerConfig&, const ExchangeResult&)>
+    onExchange_;
+  // A host of another region when the request must go there, or nothing.
+  std::function<std::optional<RelayTarget>(const ServerQuery&)> chooseRelay_;
+  // Whether a further attempt may be made for an idempotent request or one
+  // that was not run.
+  std::function<bool(const ServerQuery&, const ExchangeResult&)> mayRetry_;
+};
+
+class RequestPipeline
+{
+public:
+  RequestPipeline(boost::asio::io_context& aContext,
+                  PipelineOptions aOptions,
+                  PipelineHooks aHooks,
+                  RelayNode& aRelays,
+                  Metrics& aMetrics);
+  ~RequestPipeline();
+  RequestPipeline(const RequestPipeline&) = delete;
+  RequestPipeline& operator=(const RequestPipeline&) = delete;
+
+  void Handle(IncomingRequestPtr aRequest);
+  void HandleRelayed(RelayedRequest aRelayed);
+  // Requests that are not finished.
+  std::size_t InFlight() const;
+
+  struct Impl;
+
+private:
+  std::shared_ptr<Impl> impl_;
+};
+
+// The path of the look-up API.
+constexpr char kLookupPath[] = "/.well-known/peridotsail/hosts";
+
+}
--- /dev/null
+++ b/src/proxy/RequestRun.cc
@@ -0,0 +1,330 @@
+#include "proxy/RequestRun.h"
+
+#include "base/EventLog.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace peridotsail::detail {
+
+RequestRun::RequestRun(std::shared_ptr<RequestPipeline::Impl> aPipeline,
+                       IncomingRequestPtr aRequest)
+  : pipeline_(std::move(aPipeline))
+  , incoming_(std::move(aRequest))
+  , start_(BootClock::now())
+{
+  ++pipeline_->inFlight_;
+  pipeline_->inFlightGauge_.Set(static_cast<double>(pipeline_->inFlight_));
+  pipeline_->requests_.Add(1);
+}
+
+RequestRun::~RequestRun()
+{
+  --pipeline_->inFlight_;
+  pipeline_->inFlightGauge_.Set(static_cast<double>(pipeline_->inFlight_));
+}
+
+void
+RequestRun::Start()
+{
+  if (PathOf(incoming_->Head().target_) == kLookupPath) {
+    AnswerLookup();
+    return;
+  }
+  query_.configuration_ = pipeline_->hooks_.configuration_();
+  if (query_.configuration_ == nullptr) {
+    Refuse(MakeRefusal(ErrorKind::ConfigurationMissing));
+    return;
+  }
+  const bool accepted = CheckRoute() && CheckBody() && CheckKey() &&
+                        CheckIdempotencyKey() && CheckRate();
+  if (!accepted) {
+    return;
+  }
+  SetDeadline();
+  Dispatch();
+}
+
+void
+RequestRun::StartRelayed(const RelayedRequest& aRelayed)
+{
+  query_.configuration_ = pipeline_->hooks_.configuration_();
+  query_.customer_ = aRelayed.customer_;
+  query_.relayed_ = true;
+  query_.deadline_ = aRelayed.deadline_;
+  if (query_.configuration_ == nullptr) {
+    Refuse(MakeRefusal(ErrorKind::ConfigurationMissing));
+    return;
+  }
+  if (CheckRoute() && CheckBody()) {
+    ChooseServer();
+  }
+}
+
+void
+RequestRun::AnswerLookup()
+{
+  if (incoming_->Head().method_ != "GET") {
+    Refuse(MakeRefusal(ErrorKind::MethodNotAllowed));
+    return;
+  }
+  const std::string block =
+    QueryParameter(incoming_->Head().target_, "block").value_or("");
+  ResponseHead head;
+  head.headers_ = { { "Content-Type", "application/json" } };
+  SendDocument(incoming_,
+               std::move(head),
+               pipeline_->hooks_.lookup_(block),
+               [self = shared_from_this()] {});
+}
+
+bool
+RequestRun::CheckRoute()
+{
+  const RequestHead& head = incoming_->Head();
+  query_.route_ = query_.configuration_->FindRoute(PathOf(head.target_));
+  if (query_.route_ == nullptr) {
+    Refuse(MakeRefusal(ErrorKind::RouteNotFound));
+    return false;
+  }
+  const std::vector<std::string>& methods = query_.route_->methods_;
+  const bool allowed =
+    methods.empty() ||
+    std::find(methods.begin(), methods.end(), head.method_) != methods.end();
+  if (!allowed) {
+    Refuse(MakeRefusal(ErrorKind::MethodNotAllowed));
+  }
+  return allowed;
+}
+
+bool
+RequestRun::CheckBody()
+{
+  const std::uint64_t length = incoming_->Head().contentLength_.value_or(0);
+  if (length <= query_.route_->maxBodyBytes_) {
+    return true;
+  }
+  Refuse(MakeRefusal(ErrorKind::BodyTooLarge));
+  return false;
+}
+
+bool
+RequestRun::CheckKey()
+{
+  if (query_.route_->open_) {
+    return true;
+  }
+  Error error;
+  const auto customer = pipeline_->hooks_.authenticate_(
+    FindHeader(incoming_->Head().headers_, "Authorization"), error);
+  if (!customer) {
+    LogEvent(Event::KeyRefused, { { "route", query_.route_->name_ } });
+    Refuse(MakeRefusal(error.kind_, error.detail_));
+    return false;
+  }
+  query_.customer_ = *customer;
+  return true;
+}
+
+bool
+RequestRun::CheckIdempotencyKey()
+{
+  const bool present =
+    FindHeader(incoming_->Head().headers_, "Idempotency-Key") != nullptr;
+  if (query_.route_->idempotent_ || present) {
+    return true;
+  }
+  Refuse(MakeRefusal(ErrorKind::IdempotencyKeyRequired));
+  return false;
+}
+
+bool
+RequestRun::CheckRate()
+{
+  if (query_.customer_.empty()) {
+    return true;
+  }
+  const auto refusal = pipeline_->hooks_.admit_(query_.customer_);
+  if (refusal) {
+    Refuse(*refusal);
+  }
+  return !refusal;
+}
+
+void
+RequestRun::SetDeadline()
+{
+  Duration limit = query_.route_->timeout_;
+  const std::string* header =
+    FindHeader(incoming_->Head().headers_, "Request-Timeout");
+  if (header != nullptr) {
+    std::uint32_t milliseconds = 0;
+    const char* end = header->data() + header->size();
+    const auto parsed = std::from_chars(header->data(), end, milliseconds);
+    if (parsed.ec == std::errc() && parsed.ptr == end) {
+      limit =
+        std::min<Duration>(limit, std::chrono::milliseconds(milliseconds));
+    }
+  }
+  query_.deadline_ = start_ + limit;
+}
+
+void
+RequestRun::Dispatch()
+{
+  const auto target = pipeline_->hooks_.chooseRelay_(query_);
+  if (target) {
+    StartRelay(*target);
+    return;
+  }
+  ChooseServer();
+}
+
+RequestHead
+RequestRun::ForwardedHead() const
+{
+  RequestHead head = incoming_->Head();
+  head.headers_ = ForwardableHeaders(head.headers_);
+  return head;
+}
+
+void
+RequestRun::StartRelay(const RelayTarget& aTarget)
+{
+  LogEvent(Event::RelayDecision,
+           { { "route", query_.route_->name_ },
+             { "customer", query_.customer_ },
+             { "to_host", aTarget.host_ },
+             { "to_region", aTarget.region_ } });
+  RelayRequestHead head;
+  head.head_ = ForwardedHead();
+  head.customer_ = query_.customer_;
+  head.route_ = query_.route_->name_;
+  pipeline_->relays_.Start(
+    incoming_,
+    aTarget.host_,
+    std::move(head),
+    query_.deadline_,
+    [self = shared_from_this()](const RelayResult& aResult) {
+      self->OnRelayDone(aResult);
+    });
+}
+
+void
+RequestRun::OnRelayDone(const RelayResult& aResult)
+{
+  if (!aResult.error_) {
+    Finish(aResult.status_);
+    return;
+  }
+  if (aResult.callerGone_) {
+    incoming_->Abort();
+    return;
+  }
+  Refusal refusal = MakeRefusal(aResult.error_->kind_, aResult.error_->detail_);
+  refusal.execution_ = aResult.execution_;
+  Refuse(refusal);
+}
+
+void
+RequestRun::ChooseServer()
+{
+  pipeline_->hooks_.chooseServer_(
+    query_, [self = shared_from_this()](const ServerChoice& aChoice) {
+      if (aChoice.server_) {
+        self->Run(*aChoice.server_);
+      } else {
+        self->Refuse(aChoice.refusal_);
+      }
+    });
+}
+
+void
+RequestRun::Run(const BackendServerConfig& aServer)
+{
+  ++attempts_;
+  query_.tried_.insert(aServer.name_);
+  LogEvent(Event::RouteDecision,
+           { { "route", query_.route_->name_ },
+             { "customer", query_.customer_ },
+             { "server", aServer.name_ },
+             { "attempt", attempts_ },
+             { "relayed", query_.relayed_ } });
+  ExchangeOptions options;
+  options.serverAddress_ = aServer.address_;
+  options.deadline_ = query_.deadline_;
+  options.progressLimit_ = pipeline_->options_.progressLimit_;
+  options.maxBodyBytes_ = query_.route_->maxBodyBytes_;
+  options.reuseConnection_ = query_.route_->idempotent_;
+  std::make_shared<BackendExchange>(
+    pipeline_->connections_,
+    incoming_,
+    ForwardedHead(),
+    options,
+    [self = shared_from_this(), server = aServer](
+      const ExchangeResult& aResult) { self->OnExchangeDone(server, aResult); })
+    ->Start();
+}
+
+void
+RequestRun::OnExchangeDone(const BackendServerConfig& aServer,
+                           const ExchangeResult& aResult)
+{
+  pipeline_->hooks_.onExchange_(aServer, aResult);
+  if (aResult.silentSince_) {
+    pipeline_->connections_.CloseIdle(aServer.address_, *aResult.silentSince_);
+  }
+  if (!aResult.error_) {
+    Finish(aResult.status_);
+    return;
+  }
+  if (aResult.callerGone_) {
+    incoming_->Abort();
+    return;
+  }
+  if (MayRetry(aResult)) {
+    ChooseServer();
+    return;
+  }
+  Refusal refusal = MakeRefusal(aResult.error_->kind_, aResult.error_->detail_);
+  refusal.execution_ = aResult.execution_;
+  Refuse(refusal);
+}
+
+bool
+RequestRun::MayRetry(const ExchangeResult& aResult) const
+{
+  const bool safe =
+    query_.route_->idempotent_ || aResult.execution_ == ExecutionState::NotRun;
+  const bool useful =
+    aResult.connectFailed_ || aResult.shed_ || aResult.connectionDied_;
+  return safe && useful && !aResult.bodyTaken_ && !incoming_->HeadSent() &&
+         attempts_ < pipeline_->options_.maxAttempts_ &&
+         BootClock::now() < query_.deadline_ &&
+         pipeline_->hooks_.mayRetry_(query_, aResult);
+}
+
+void
+RequestRun::Refuse(const Refusal& aRefusal)
+{
+  LogEvent(Event::RequestRefused,
+           { { "kind", NameOf(aRefusal.error_.kind_) },
+             { "execution", NameOf(aRefusal.execution_) },
+             { "customer", query_.customer_ },
+             { "detail", aRefusal.error_.detail_ } });
+  pipeline_->CountRefusal(aRefusal.error_.kind_);
+  SendRefusal(incoming_, aRefusal, [self = shared_from_this()] {});
+}
+
+void
+RequestRun::Finish(int aStatus)
+{
+  const Duration elapsed = BootClock::now() - start_;
+  pipeline_->latency_.Observe(elapsed);
+  LogEvent(Event::RequestFinished,
+           { { "route", query_.route_->name_ },
+             { "status", aStatus },
+             { "seconds", ToSeconds(elapsed) } });
+}
+
+}
--- /dev/null
+++ b/src/proxy/RequestRun.h
@@ -0,0 +1,79 @@
+#pragma once
+
+// One request on its way through the pipeline. A part of RequestPipeline;
+// included by its .cc files.
+
+#include "proxy/BackendConnections.h"
+#include "proxy/BackendExchange.h"
+#include "proxy/RequestPipeline.h"
+
+#include <memory>
+
+namespace peridotsail {
+
+struct RequestPipeline::Impl : public std::enable_shared_from_this<Impl>
+{
+  Impl(boost::asio::io_context& aContext,
+       PipelineOptions aOptions,
+       PipelineHooks aHooks,
+       RelayNode& aRelays,
+       Metrics& aMetrics);
+
+  void CountRefusal(ErrorKind aKind);
+
+  detail::BackendConnections connections_;
+  PipelineOptions options_;
+  PipelineHooks hooks_;
+  RelayNode& relays_;
+  Metrics& metrics_;
+  MetricCounter& requests_;
+  MetricGauge& inFlightGauge_;
+  MetricLatency& latency_;
+  std::size_t inFlight_ = 0;
+};
+
+namespace detail {
+
+class RequestRun : public std::enable_shared_from_this<RequestRun>
+{
+public:
+  RequestRun(std::shared_ptr<RequestPipeline::Impl> aPipeline,
+             IncomingRequestPtr aRequest);
+  ~RequestRun();
+  RequestRun(const RequestRun&) = delete;
+  RequestRun& operator=(const RequestRun&) = delete;
+
+  void Start();
+  void StartRelayed(const RelayedRequest& aRelayed);
+
+private:
+  void AnswerLookup();
+  // Each check sends the refusal and returns false when it fails.
+  bool CheckRoute();
+  bool CheckBody();
+  bool CheckKey();
+  bool CheckIdempotencyKey();
+  bool CheckRate();
+  void SetDeadline();
+  void Dispatch();
+  void StartRelay(const RelayTarget& aTarget);
+  void OnRelayDone(const RelayResult& aResult);
+  void ChooseServer();
+  void Run(const BackendServerConfig& aServer);
+  void OnExchangeDone(const BackendServerConfig& aServer,
+                      const ExchangeResult& aResult);
+  bool MayRetry(const ExchangeResult& aResult) const;
+  void Refuse(const Refusal& aRefusal);
+  void Finish(int aStatus);
+  RequestHead ForwardedHead() const;
+
+  std::shared_ptr<RequestPipeline::Impl> pipeline_;
+  IncomingRequestPtr incoming_;
+  ServerQuery query_;
+  TimePoint start_;
+  int attempts_ = 0;
+};
+
+}
+
+}
--- /dev/null
+++ b/src/proxy/testing/ProxyTest.cc
@@ -0,0 +1,314 @@
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+#include "proxy/CallerServer.h"
+#include "proxy/RequestPipeline.h"
+#include "proxy/ServerSelector.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace peridotsail;
+
+namespace {
+
+constexpr std::chrono::seconds kGenerous(60);
+
+std::shared_ptr<Configuration>
+MakeConfiguration(const std::vector<std::string>& aServers)
+{
+  auto configuration = std::make_shared<Configuration>();
+  configuration->regions_ = { { "north", { "north-a" }, 1, 0 } };
+  configuration->pools_ = { { "inbox" } };
+  for (const std::string& address : aServers) {
+    BackendServerConfig server;
+    server.name_ = "s" + std::to_string(configuration->backendServers_.size());
+    server.pool_ = "inbox";
+    server.region_ = "north";
+    server.address_ = address;
+    configuration->backendServers_.push_back(server);
+  }
+  RouteConfig read;
+  read.name_ = "read";
+  read.prefix_ = "/read";
+  read.methods_ = { "GET", "PUT" };
+  read.pool_ = "inbox";
+  read.maxBodyBytes_ = 1000;
+  RouteConfig order = read;
+  order.name_ = "order";
+  order.prefix_ = "/order";
+  order.methods_ = { "POST" };
+  order.idempotent_ = false;
+  configuration->routes_ = { read, order };
+  return configuration;
+}
+
+// A whole entry host without peers, and two backend servers, on one
+// io_context.
+class Fixture
+{
+public:
+  Fixture()
+    : first_(context_, {}, Serve(0))
+    , second_(context_, {}, Serve(1))
+    , relays_(context_, {})
+    , selector_("north")
+    , pipeline_(context_, {}, Hooks(), relays_, metrics_)
+    , callers_(context_,
+               CallerOptions(),
+               [this](IncomingRequestPtr aRequest) {
+                 pipeline_.Handle(std::move(aRequest));
+               })
+    , client_(context_, {})
+  {
+    Error error;
+    REQUIRE(first_.Listen({ "127.0.0.1", 0 }, error));
+    REQUIRE(second_.Listen({ "127.0.0.1", 0 }, error));
+    REQUIRE(callers_.Listen(error));
+    configuration_ =
+      MakeConfiguration({ AddressOf(first_), AddressOf(second_) });
+  }
+
+  HttpServer::Handler Serve(std::size_t aIndex)
+  {
+    return [this, aIndex](const HttpRequest& aRequest, auto aReply) {
+      seen_[aIndex].push_back(aRequest);
+      if (behaviour_[aIndex] == "die") {
+        aReply->Abort();
+      } else if (behaviour_[aIndex] == "shed") {
+        aReply->Send({ 503, { { "Execution-State", "not-run" } }, "" });
+      } else if (behaviour_[aIndex] == "silent") {
+        held_.push_back(aReply);
+      } else {
+        aReply->Send({ 200,
+                       { { "X-Server", std::to_string(aIndex) } },
+                       aRequest.body_ + "!" });
+      }
+    };
+  }
+
+  static CallerServerOptions CallerOptions()
+  {
+    CallerServerOptions options;
+    options.listen_ = { "127.0.0.1", 0 };
+    return options;
+  }
+
+  static std::string AddressOf(const HttpServer& aServer)
+  {
+    return "127.0.0.1:" + std::to_string(aServer.Port());
+  }
+
+  PipelineHooks Hooks()
+  {
+    PipelineHooks hooks;
+    hooks.configuration_ = [this] { return configuration_; };
+    hooks.lookup_ = [](const std::string& aBlock) {
+      return "{\"block\":\"" + aBlock + "\"}";
+    };
+    hooks.authenticate_ = [](const std::string* aKey,
+                             Error& aError) -> std::optional<std::string> {
+      if (aKey != nullptr && *aKey == "Bearer good") {
+        return "school";
+      }
+      aError = { ErrorKind::Unauthenticated, "" };
+      return std::nullopt;
+    };
+    hooks.admit_ = [this](const std::string&) -> std::optional<Refusal> {
+      return tokens_-- > 0
+               ? std::nullopt
+               : std::optional(MakeRefusal(ErrorKind::RateExceeded));
+    };
+    hooks.chooseServer_ = [this](const ServerQuery& aQuery,
+                                 const auto& aCallback) {
+      ServerChoice choice;
+      choice.server_ = selector_.Choose(*aQuery.configuration_,
+                                        aQuery.route_->pool_,
+                                        aQuery.tried_,
+                                        BootClock::now());
+      choice.refusal_ = MakeRefusal(ErrorKind::NoBackendServer);
+      aCallback(choice);
+    };
+    hooks.onExchange_ = [this](const BackendServerConfig& aServer,
+                               const ExchangeResult& aResult) {
+      selector_.OnExchange(aServer, aResult, BootClock::now());
+    };
+    hooks.chooseRelay_ = [](const ServerQuery&) { return std::nullopt; };
+    hooks.mayRetry_ = [](const ServerQuery&, const ExchangeResult&) {
+      return true;
+    };
+    return hooks;
+  }
+
+  HttpResponse Call(HttpRequest aRequest)
+  {
+    std::optional<HttpResponse> response;
+    client_.Call({ "127.0.0.1", callers_.Port() },
+                 std::move(aRequest),
+                 kGenerous,
+                 [&](auto aResponse, const Error& aError) {
+                   INFO(aError.detail_);
+                   REQUIRE(aResponse);
+                   response = aResponse;
+                 });
+    context_.restart();
+    while (!response && context_.run_one_for(kGenerous) > 0) {
+    }
+    REQUIRE(response);
+    return *response;
+  }
+
+  // Outlives the handlers that the io_context still holds at its end.
+  Metrics metrics_;
+  boost::asio::io_context context_;
+  std::vector<HttpRequest> seen_[2];
+  std::string behaviour_[2];
+  // Replies that are never given.
+  std::vector<std::shared_ptr<HttpReply>> held_;
+  int tokens_ = 1000;
+  ConfigurationPtr configuration_;
+  HttpServer first_;
+  HttpServer second_;
+  RelayNode relays_;
+  ServerSelector selector_;
+  RequestPipeline pipeline_;
+  CallerServer callers_;
+  HttpClient client_;
+};
+
+HttpRequest
+MakeRequest(const std::string& aMethod,
+            const std::string& aTarget,
+            HttpHeaders aHeaders = {},
+            std::string aBody = "")
+{
+  aHeaders.push_back({ "Authorization", "Bearer good" });
+  return { aMethod, aTarget, std::move(aHeaders), std::move(aBody) };
+}
+
+}
+
+// Guards invariant 3: no backend server sees the key.
+TEST_CASE("a request is answered whole and its key stays at the entry host")
+{
+  Fixture host;
+  const HttpResponse response = host.Call(MakeRequest(
+    "PUT",
+    "/read/1",
+    { { "Connection", "X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" } },
+    "body"));
+  CHECK(response.status_ == 200);
+  CHECK(response.body_ == "body!");
+  REQUIRE(host.seen_[0].size() == 1);
+  const HttpHeaders& headers = host.seen_[0][0].headers_;
+  CHECK(FindHeader(headers, "Authorization") == nullptr);
+  CHECK(FindHeader(headers, "X-Hop") == nullptr);
+  CHECK(FindHeader(headers, "X-Kept") != nullptr);
+  CHECK(FindHeader(headers, "Request-Timeout") != nullptr);
+}
+
+// Guards the statement "not-run": no backend server may have seen a request
+// that was refused so.
+TEST_CASE("requests that fail a check are refused as not run")
+{
+  struct Row
+  {
+    HttpRequest request_;
+    int status_;
+    const char* kind_;
+  };
+  const Row rows[] = {
+    { { "GET", "/read", {}, "" }, 401, "unauthenticated" },
+    { { "GET", "/read", { { "Authorization", "Bearer bad" } }, "" },
+      401,
+      "unauthenticated" },
+    { MakeRequest("GET", "/nothing"), 404, "route-not-found" },
+    { MakeRequest("DELETE", "/read"), 405, "method-not-allowed" },
+    { MakeRequest("PUT", "/read", {}, std::string(2000, 'a')),
+      413,
+      "body-too-large" },
+    { MakeRequest("POST", "/order"), 400, "idempotency-key-required" },
+    { MakeRequest("GET", "/read", { { "X-Large", std::string(20000, 'a') } }),
+      431,
+      "header-too-large" },
+  };
+  for (const Row& row : rows) {
+    INFO(row.kind_);
+    Fixture host;
+    const HttpResponse response = host.Call(row.request_);
+    CHECK(response.status_ == row.status_);
+    const auto body = nlohmann::json::parse(response.body_);
+    CHECK(body["kind"] == row.kind_);
+    CHECK(body["execution"] == "not-run");
+    CHECK(host.seen_[0].empty());
+  }
+}
+
+TEST_CASE("a request above the rate is refused with Retry-After")
+{
+  Fixture host;
+  host.tokens_ = 0;
+  const HttpResponse response = host.Call(MakeRequest("GET", "/read"));
+  CHECK(response.status_ == 429);
+  CHECK(FindHeader(response.headers_, "Retry-After") != nullptr);
+}
+
+// Guards the choice between a second attempt and an honest answer.
+TEST_CASE("attempts follow what is known about execution")
+{
+  struct Row
+  {
+    const char* first_;
+    const char* method_;
+    const char* target_;
+    int status_;
+    const char* execution_;
+  };
+  const Row rows[] = {
+    { "die", "GET", "/read", 200, nullptr },
+    { "shed", "GET", "/read", 200, nullptr },
+    { "shed", "POST", "/order", 200, nullptr },
+    { "die", "POST", "/order", 502, "unknown" },
+    { "silent", "GET", "/read", 504, "unknown" },
+  };
+  for (const Row& row : rows) {
+    INFO(row.first_ << ' ' << row.method_);
+    Fixture host;
+    host.behaviour_[0] = row.first_;
+    const HttpResponse response = host.Call(MakeRequest(
+      row.method_,
+      row.target_,
+      { { "Idempotency-Key", "k" },
+        { "Request-Timeout", row.status_ == 504 ? "100" : "30000" } }));
+    CHECK(response.status_ == row.status_);
+    if (row.execution_ != nullptr) {
+      CHECK(nlohmann::json::parse(response.body_)["execution"] ==
+            row.execution_);
+      CHECK(host.seen_[1].empty());
+    } else {
+      CHECK(host.seen_[1].size() == 1);
+    }
+  }
+}
+
+TEST_CASE("with no backend server the answer is not-run")
+{
+  Fixture host;
+  host.configuration_ = MakeConfiguration({ "127.0.0.1:1" });
+  const HttpResponse response = host.Call(MakeRequest("GET", "/read"));
+  CHECK(response.status_ == 503);
+  CHECK(*FindHeader(response.headers_, "Execution-State") == "not-run");
+}
+
+TEST_CASE(
+  "without a configuration keyed requests are refused and look-ups answered")
+{
+  Fixture host;
+  host.configuration_ = nullptr;
+  CHECK(host.Call(MakeRequest("GET", "/read")).status_ == 503);
+  CHECK(
+    host
+      .Call(
+        { "GET", std::string(kLookupPath) + "?block=10.0.0.0%2F24", {}, "" })
+      .body_ == "{\"block\":\"10.0.0.0/24\"}");
+}
