--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr std::size_t kRingCapacity = 16 * 1024;
+constexpr std::size_t kRingCapacity = 16 << 10;
 
 // How often a stopping host looks for requests in flight.
 constexpr Duration kDrainCheck = std::chrono::milliseconds(20);
@@ -190,7 +190,7 @@
 EntryHost::Impl::MakePlatformHooks()
 {
   PlatformReaderHooks hooks;
-  hooks.onConfiguration_ = [this](ConfigurationPtr aConfiguration) {
+  hooks.onConfiguration_ = [this](const ConfigurationPtr& aConfiguration) {
     configuration_.Set(aConfiguration);
     metrics_
       .Gauge("peridotsail_configuration_version",
--- a/src/app/Settings.cc
+++ b/src/app/Settings.cc
@@ -84,7 +84,7 @@
 
   std::string Name(const std::string& aFlag)
   {
-    const std::string text = Text(aFlag);
+    std::string text = Text(aFlag);
     const bool valid =
       text.size() <= 100 &&
       text.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
--- a/src/app/testing/EndToEndTest.cc
+++ b/src/app/testing/EndToEndTest.cc
@@ -61,7 +61,7 @@
   CHECK(BodyOf(response)["target"] == "/inbox/7");
   CHECK(BodyOf(response)["server"].get<std::string>().rfind("north", 0) == 0);
 
-  const std::string large(700 * 1000, 'x');
+  const std::string large(700'000, 'x');
   HttpRequest upload = Keyed("PUT", "/far/scan");
   upload.body_ = large;
   response = CallOnce(north, upload);
@@ -128,8 +128,9 @@
   TestHost& stopping = system.hosts_[0];
   std::vector<std::thread> callers;
   std::vector<int> statuses(3, 0);
+  callers.reserve(statuses.size());
   for (int& status : statuses) {
-    callers.emplace_back([&system, &stopping, &status] {
+    callers.emplace_back([&stopping, &status] {
       const auto response = CallOnce(
         stopping.callers_,
         Keyed("GET", "/inbox/slow", { { "X-Fake-Delay-Ms", "3000" } }));
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -22,7 +22,7 @@
 
 struct HttpServerOptions
 {
-  std::size_t maxHeaderBytes_ = 16 * 1024;
+  std::size_t maxHeaderBytes_ = 16 << 10;
   std::size_t maxBodyBytes_ = 4 << 20;
   // Time for reading a request or writing a response.
   Duration timeout_ = std::chrono::seconds(30);
--- a/src/proxy/CallerServer.h
+++ b/src/proxy/CallerServer.h
@@ -19,7 +19,7 @@
 {
   Address listen_;
   // A larger request head is refused with header-too-large.
-  std::size_t maxHeaderBytes_ = 16 * 1024;
+  std::size_t maxHeaderBytes_ = 16 << 10;
   // A connection without a request for longer is closed.
   Duration idleLimit_ = std::chrono::seconds(60);
   // A transfer without progress for longer is ended.
--- a/src/testing/FakePlatform.cc
+++ b/src/testing/FakePlatform.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <docopt/docopt.h>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -26,10 +27,12 @@
   R"(fake_platform: simulated key-value store and host list.
 
 Usage:
-  fake_platform --listen=<address>
+  fake_platform --listen=<address> [--config=<file>] [--hosts=<file>]
 
 Options:
   --listen=<address>  IP address and port.
+  --config=<file>     Configuration document for the store, as version 1.
+  --hosts=<file>      EndpointSliceList of the entry hosts.
 )";
 
 class Platform
@@ -58,6 +61,17 @@
     }
   }
 
+  void SetConfiguration(const json& aDocument)
+  {
+    const json envelope{ { "version", 1 },
+                         { "attempt", "initial" },
+                         { "author", "fake_platform" },
+                         { "document", aDocument } };
+    store_.Set("peridotsail/config", envelope.dump());
+  }
+
+  void SetHosts(const json& aList) { hostLists_["peridotsail"] = aList; }
+
 private:
   HttpResponse HandleAdmin(const HttpRequest& aRequest)
   {
@@ -134,6 +148,38 @@
   int loseAnswers_ = 0;
 };
 
+using Arguments = std::map<std::string, docopt::value>;
+
+// Reads the JSON file of an argument; null when the argument is not given.
+json
+ReadFile(const Arguments& aArguments, const std::string& aName)
+{
+  const docopt::value& path = aArguments.at(aName);
+  if (!path.isString()) {
+    return nullptr;
+  }
+  std::ifstream file(path.asString());
+  return json::parse(file, nullptr, false);
+}
+
+bool
+LoadFiles(const Arguments& aArguments, Platform& aPlatform)
+{
+  const json document = ReadFile(aArguments, "--config");
+  const json hosts = ReadFile(aArguments, "--hosts");
+  if (document.is_discarded() || hosts.is_discarded()) {
+    std::cerr << "--config or --hosts: not a readable JSON file\n";
+    return false;
+  }
+  if (!document.is_null()) {
+    aPlatform.SetConfiguration(document);
+  }
+  if (!hosts.is_null()) {
+    aPlatform.SetHosts(hosts);
+  }
+  return true;
+}
+
 }
 
 int
@@ -148,6 +194,9 @@
   }
   boost::asio::io_context context;
   Platform platform(context);
+  if (!LoadFiles(arguments, platform)) {
+    return 2;
+  }
   HttpServer server(context, {}, [&](const HttpRequest& aRequest, auto aReply) {
     platform.Handle(aRequest, aReply);
   });
