--- /dev/null
+++ b/src/budget/SharedBudget.h
@@ -0,0 +1,179 @@
+#pragma once
+
+// One host's part of a budget that all hosts share: a rate and a burst that no
+// window of any length exceeds on all hosts together. Pure: the caller passes
+// the time and carries the messages.
+//
+//   SharedBudget budget("school-galway", options, now);
+//   budget.AdoptLimits({ 50, 100, layout }, now);   // each new version
+//   budget.SetSlot(validity, now);                   // each renewal
+//   budget.SetPeers(peersNearestFirst);
+//   if (!budget.TryTake(1, now)) { refuse after budget.RetryAfter(1, now); }
+//   for (auto& [peer, entry] : budget.Borrow(now)) { send(peer, entry); }
+//   grant = budget.Lend(peer, entry, now);           // a peer's request
+//   budget.Accept(peer, grantEntry, now);            // a peer's grant
+//
+// Invariant: over all hosts and all messages in flight the caps add up to at
+// most the burst, the refill rates to at most the rate, and the tokens of each
+// host or message to at most its cap. Admissions in a window are then at most
+// the tokens at its start plus the refill: burst + rate * t. A loan moves
+// tokens, rate and cap together; its lender gives them up before it answers
+// and takes them back only after the borrower's time is over.
+
+#include "budget/SlotTypes.h"
+#include "budget/TokenBucket.h"
+#include "budget/TokenMessages.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace peridotsail {
+
+struct SharedBudgetOptions
+{
+  // Time for which a borrower may use a loan, from sending its request.
+  Duration loanLifetime_ = std::chrono::seconds(1);
+  // What the lender waits longer, from its grant: covers a difference of
+  // clock speeds of 10%.
+  Duration lenderMargin_ = std::chrono::milliseconds(100);
+  // How long a higher share waits after its version was adopted: by then all
+  // hosts have adopted the version (design 7.2).
+  Duration raiseDelay_ = std::chrono::seconds(10);
+  // Lends refill rate and cap together. False: loans of tokens alone.
+  bool lendRate_ = true;
+  // Time between two requests to the same peer.
+  Duration askInterval_ = std::chrono::milliseconds(100);
+  // The time constant of the demand estimate.
+  Duration demandWindow_ = std::chrono::milliseconds(500);
+  // Ids of loans and requests start here; a random number per process keeps
+  // the messages of an earlier process from matching.
+  std::uint64_t firstId_ = 1;
+};
+
+// The limits of one configuration version. The layout has the slots that carry
+// a share: all slots for a customer's budget, or one region's.
+struct BudgetLimits
+{
+  double rate_ = 0;
+  double burst_ = 0;
+  SlotLayoutPtr layout_;
+  // True when no earlier version can be in force on any host: the share then
+  // holds at once.
+  bool first_ = false;
+};
+
+struct BudgetPeer
+{
+  std::string name_;
+  Duration roundTrip_{};
+};
+
+class SharedBudget
+{
+public:
+  SharedBudget(std::string aName,
+               const SharedBudgetOptions& aOptions,
+               TimePoint aNow);
+
+  // A configuration version came into force on this host. A lower share holds
+  // at once, a higher share and a new slot after raiseDelay_.
+  void AdoptLimits(const BudgetLimits& aLimits, TimePoint aNow);
+  // The slot or its validity changed. Another slot or epoch starts empty.
+  void SetSlot(const SlotValidity& aSlot, TimePoint aNow);
+  // The hosts to borrow from, nearest first.
+  void SetPeers(std::vector<BudgetPeer> aPeers);
+
+  // Takes all of the tokens or none. Counts as demand either way.
+  bool TryTake(double aTokens, TimePoint aNow);
+  // Takes up to aTokens and returns how many; for streams of bytes.
+  double TakeUpTo(double aTokens, TimePoint aNow);
+  // Gives back tokens whose request was not admitted after all.
+  void PutBack(double aTokens, TimePoint aNow);
+  // The wait until refill alone provides the tokens, at least 1 ms; at most
+  // kMaxRetryAfter.
+  Duration RetryAfter(double aTokens, TimePoint aNow);
+  static constexpr Duration kMaxRetryAfter = std::chrono::seconds(30);
+
+  // The requests to send now, at most one for each peer. Cheap when there is
+  // nothing to ask for; call it every few milliseconds and after a refusal.
+  std::vector<std::pair<std::string, TokenRequestEntry>> Borrow(TimePoint aNow);
+  // Answers a peer's request: returns and renewals first, then a loan.
+  TokenGrantEntry Lend(const std::string& aPeer,
+                       const TokenRequestEntry& aRequest,
+                       TimePoint aNow);
+  // Takes a loan. A grant that answers no open request adds nothing.
+  void Accept(const std::string& aPeer,
+              const TokenGrantEntry& aGrant,
+              TimePoint aNow);
+
+  const std::string& Name() const { return name_; }
+  double Level(TimePoint aNow);
+  // The refill rate and the cap in force, loans included.
+  double Rate(TimePoint aNow);
+  double Cap(TimePoint aNow);
+  // Demand in tokens per second, refused requests included.
+  double Demand(TimePoint aNow) const;
+  // The sums of the loans that run.
+  BudgetPart Lent(TimePoint aNow);
+  BudgetPart Borrowed(TimePoint aNow);
+
+private:
+  struct Loan
+  {
+    std::string peer_;
+    BudgetPart part_;
+    TimePoint end_;
+    bool renewing_ = false;
+  };
+  struct OpenRequest
+  {
+    std::string peer_;
+    TimePoint sent_;
+    BudgetPart wanted_;
+  };
+  struct Version
+  {
+    BudgetLimits limits_;
+    // When the next version replaced it.
+    TimePoint replaced_ = TimePoint::max();
+  };
+
+  // Applies everything that ended up to aNow in the order of its time, so that
+  // no refill is counted at a rate that had already ended.
+  void Advance(TimePoint aNow);
+  std::optional<TimePoint> NextChange() const;
+  void DropEnded(TimePoint aNow);
+  // Sets the bucket's limits from the share and the loans.
+  void ApplyLimits(TimePoint aNow);
+  // The share of the slot: the lowest of all versions of the raise delay.
+  BudgetPart OwnShare(TimePoint aNow) const;
+  void NoteDemand(double aTokens, TimePoint aNow);
+  // What this host could do without at its present demand.
+  BudgetPart Spare(TimePoint aNow);
+  BudgetPart Want(TimePoint aNow);
+  void AddReturns(const std::string& aPeer,
+                  TokenRequestEntry& aEntry,
+                  TimePoint aNow);
+
+  std::string name_;
+  SharedBudgetOptions options_;
+  TokenBucket bucket_;
+  std::deque<Version> versions_;
+  SlotValidity slot_;
+  std::vector<BudgetPeer> peers_;
+  std::map<std::uint64_t, Loan> given_;
+  std::map<std::uint64_t, Loan> taken_;
+  std::map<std::uint64_t, OpenRequest> open_;
+  std::map<std::string, TimePoint> lastAsked_;
+  std::uint64_t nextId_;
+  double demand_ = 0;
+  TimePoint demandAt_;
+  TimePoint now_;
+};
+
+}
--- /dev/null
+++ b/src/budget/SlotLease.h
@@ -0,0 +1,306 @@
+#pragma once
+
+// Acquires, renews and releases one host slot of a region. Pure: it takes the
+// time and events, and returns intents that the caller carries out.
+//
+//   SlotLease lease(options, self, now);
+//   lease.SetLayout(layout, now);
+//   lease.SetHostList(hosts, now);
+//   for (SlotIntent& intent : lease.Tick(now)) { carryOut(intent); }
+//   lease.OnStoreResult(result, now);          // then call Tick again
+//   answer = lease.OnQuery(query, now);        // a peer asks
+//   lease.OnAnswer(answer, now);               // a peer answers
+//   publish(lease.Validity());                 // after each call
+//
+// At most one process considers itself the valid holder of a slot at any time
+// (design 7.1):
+// - Validity counts from the sending of the renewal and ends before the lease
+//   in the store. Once lapsed, only the store makes it valid again.
+// - A holder continues without the store for 3 s after it sent a query that all
+//   processes of the record's consent list answered with "not reachable".
+// - A successor needs the alive key gone, the guard time, and the answer of one
+//   process of the same consent list that it reaches the store and has answered
+//   "not reachable" to nobody for longer than a continuation lasts. At that
+//   time the predecessor has lapsed.
+
+#include "budget/SlotRecord.h"
+#include "budget/SlotTypes.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace peridotsail {
+
+struct SlotLeaseOptions
+{
+  Duration leaseTime_ = std::chrono::seconds(9);
+  Duration renewEvery_ = std::chrono::seconds(3);
+  // Validity ends this much before the lease in the store can end.
+  Duration margin_ = std::chrono::seconds(1);
+  // A store operation without an answer counts as one with unknown outcome.
+  Duration storeTimeout_ = std::chrono::seconds(1);
+  // Between two attempts after a failure, and between two looks at the table
+  // while this host has no slot.
+  Duration retryEvery_ = std::chrono::seconds(1);
+  // How long a query's confirmed outage lets a holder continue.
+  Duration continuation_ = std::chrono::seconds(3);
+  Duration guard_ = std::chrono::seconds(6);
+  // Quiet time that a successor asks of its witness: the continuation and a
+  // margin for clocks.
+  Duration witnessQuiet_ = std::chrono::milliseconds(3500);
+  // How long the host list must have shown all holders gone when no witness
+  // answers.
+  Duration goneFor_ = std::chrono::seconds(60);
+  // Between the end of use and the written release: the loans that the slot
+  // gave have ended by then (SharedBudgetOptions: lifetime and margin).
+  Duration releaseDelay_ = std::chrono::milliseconds(1500);
+  // Makes the attempt ids; must not repeat across processes.
+  std::function<std::string()> newId_;
+};
+
+enum class SlotIntentKind
+{
+  // Read all keys below SlotTablePrefix(region).
+  ReadTable,
+  // Grant a store lease of lease time ttl_.
+  GrantLease,
+  KeepAlive,
+  // If the record's revision is compareRevision_ (0: no record) and the alive
+  // key does not exist: put record_, and put the alive key with lease_.
+  Claim,
+  // If the record's revision is compareRevision_ and the alive key's revision
+  // is compareAlive_: put record_.
+  Rewrite,
+  // If the record's revision is compareRevision_: put record_ (without a
+  // holder) and delete the alive key.
+  Release,
+  RevokeLease,
+  // Send query_ to each process of peers_.
+  AskPeers,
+};
+
+// What a peer is asked: whether it reaches the store.
+struct ReachabilityQuery
+{
+  std::uint64_t query_ = 0;
+  // The slot whose takeover is at stake and its epoch; number -1 when a holder
+  // asks for its own continuation.
+  SlotId slot_;
+  std::uint64_t epoch_ = 0;
+};
+
+struct ReachabilityAnswer
+{
+  std::uint64_t query_ = 0;
+  std::string incarnation_;
+  bool reachable_ = false;
+  // Time since the answering process last said "not reachable" to any host, or
+  // since its start.
+  Duration quiet_{};
+  // True when it said so to nobody since before the last renewal of the epoch
+  // that the query names.
+  bool noOutageSinceRenewal_ = false;
+};
+
+struct SlotIntent
+{
+  SlotIntentKind kind_ = SlotIntentKind::ReadTable;
+  // Comes back in the result; 0 for AskPeers.
+  std::uint64_t operation_ = 0;
+  SlotId slot_;
+  SlotRecord record_;
+  std::int64_t compareRevision_ = 0;
+  std::int64_t compareAlive_ = 0;
+  std::int64_t lease_ = 0;
+  Duration ttl_{};
+  ReachabilityQuery query_;
+  std::vector<SlotHolder> peers_;
+};
+
+enum class StoreOutcome
+{
+  Done,
+  // The comparison failed, or the lease does not exist. Nothing was written.
+  Refused,
+  // No answer or an error: the write may have taken effect.
+  Unknown,
+};
+
+struct SlotStoreResult
+{
+  std::uint64_t operation_ = 0;
+  StoreOutcome outcome_ = StoreOutcome::Unknown;
+  // ReadTable.
+  std::vector<SlotRow> rows_;
+  // GrantLease.
+  std::int64_t lease_ = 0;
+  // The store's revision of a successful write.
+  std::int64_t revision_ = 0;
+};
+
+// One decision for the log.
+struct SlotDecision
+{
+  enum class Kind
+  {
+    Claimed,
+    Lost,
+    Released,
+    ContinuingWithoutStore,
+    TakeoverWaits,
+  };
+  Kind kind_ = Kind::Claimed;
+  SlotId slot_;
+  std::uint64_t epoch_ = 0;
+  std::string reason_;
+};
+
+std::string_view
+NameOf(SlotDecision::Kind aKind);
+
+class SlotLease
+{
+public:
+  SlotLease(const SlotLeaseOptions& aOptions,
+            std::string aRegion,
+            SlotHolder aSelf,
+            TimePoint aNow);
+
+  void SetLayout(SlotLayoutPtr aLayout, TimePoint aNow);
+  // The host names that the host list shows, leaving ones included.
+  void SetHostList(const std::set<std::string>& aHosts, TimePoint aNow);
+  // A peer link told that another process now answers at the holder's address.
+  void OnProcessReplaced(const std::string& aOldIncarnation, TimePoint aNow);
+
+  // What to do now. Call it every 100 ms and after each event.
+  std::vector<SlotIntent> Tick(TimePoint aNow);
+  void OnStoreResult(const SlotStoreResult& aResult, TimePoint aNow);
+  ReachabilityAnswer OnQuery(const ReachabilityQuery& aQuery, TimePoint aNow);
+  void OnAnswer(const ReachabilityAnswer& aAnswer, TimePoint aNow);
+  // Ends the use of the slot at once and the hold of it after the loans have
+  // ended. Done when IsReleased() is true.
+  void Release(TimePoint aNow);
+
+  SlotValidity Validity() const;
+  bool IsReleased() const { return phase_ == Phase::Released; }
+  // Whether the last operation on the store succeeded recently.
+  bool StoreReachable(TimePoint aNow) const;
+  // The decisions since the last call.
+  std::vector<SlotDecision> TakeDecisions();
+
+private:
+  enum class Phase
+  {
+    Searching,
+    Granting,
+    Claiming,
+    // The outcome of the claim is unknown.
+    ReadingBack,
+    Holding,
+    Releasing,
+    Released,
+  };
+  struct Operation
+  {
+    SlotIntentKind kind_ = SlotIntentKind::ReadTable;
+    std::uint64_t id_ = 0;
+    TimePoint sent_;
+  };
+  // What this process knows of one slot's record.
+  struct Observed
+  {
+    SlotRow row_;
+    // When a read that found it alive was sent.
+    std::optional<TimePoint> aliveAt_;
+    // When a read first found it expired at this revision.
+    std::optional<TimePoint> expiredAt_;
+    // A witness's word, for the epoch of row_.
+    bool witnessed_ = false;
+    bool noOutage_ = false;
+    bool waitLogged_ = false;
+  };
+  struct Held
+  {
+    SlotRow row_;
+    std::int64_t lease_ = 0;
+    // From the store: sending time plus lease time less the margin.
+    TimePoint leaseValid_{};
+    // From a confirmed outage.
+    TimePoint continueValid_{};
+    PredecessorOutage predecessor_ = PredecessorOutage::MayHaveContinued;
+    // Consent lists that the store may hold besides the record's.
+    std::vector<SlotHolder> pendingConsent_;
+    bool renewFailed_ = false;
+    bool released_ = false;
+  };
+  // An open query and who has confirmed the outage.
+  struct Query
+  {
+    std::uint64_t id_ = 0;
+    TimePoint sent_;
+    SlotId slot_;
+    std::uint64_t epoch_ = 0;
+    std::set<std::string> confirmed_;
+  };
+
+  SlotIntent Start(SlotIntentKind aKind, TimePoint aNow);
+  void TickSearching(std::vector<SlotIntent>& aIntents, TimePoint aNow);
+  void TickHolding(std::vector<SlotIntent>& aIntents, TimePoint aNow);
+  void TickReleasing(std::vector<SlotIntent>& aIntents, TimePoint aNow);
+  void AskConsent(std::vector<SlotIntent>& aIntents, TimePoint aNow);
+  void AskWitnesses(std::vector<SlotIntent>& aIntents, TimePoint aNow);
+  void OnTable(const std::vector<SlotRow>& aRows,
+               const Operation& aOperation,
+               TimePoint aNow);
+  void OnLeaseResult(const SlotStoreResult& aResult,
+                     const Operation& aOperation,
+                     TimePoint aNow);
+  void OnWriteResult(const SlotStoreResult& aResult,
+                     const Operation& aOperation,
+                     TimePoint aNow);
+  void OnUnknown(const Operation& aOperation, TimePoint aNow);
+  void Lose(const std::string& aReason, TimePoint aNow);
+  // The slot to claim now, or nothing.
+  Observed* Choose(TimePoint aNow);
+  bool MayTake(Observed& aObserved, TimePoint aNow);
+  bool AllGone(const SlotRecord& aRecord, TimePoint aNow) const;
+  std::vector<SlotHolder> ConsentFromTable() const;
+  std::vector<SlotHolder> ConsentNeeded() const;
+  TimePoint ValidUntil() const;
+  void Decide(SlotDecision::Kind aKind,
+              const SlotId& aSlot,
+              std::uint64_t aEpoch,
+              std::string aReason);
+
+  SlotLeaseOptions options_;
+  std::string region_;
+  SlotHolder self_;
+  SlotLayoutPtr layout_;
+  Phase phase_ = Phase::Searching;
+  std::map<int, Observed> table_;
+  std::optional<Operation> operation_;
+  std::optional<Held> held_;
+  std::optional<Query> consentQuery_;
+  std::map<std::uint64_t, Query> witnessQueries_;
+  std::vector<SlotDecision> decisions_;
+  // Since when the host list has not shown a host, or another process has
+  // answered for an incarnation.
+  std::map<std::string, TimePoint> goneSince_;
+  std::set<std::string> listed_;
+  TimePoint started_;
+  TimePoint next_;
+  TimePoint lastUnreachableAnswer_;
+  std::optional<TimePoint> lastSuccess_;
+  bool lastFailed_ = false;
+  TimePoint releaseAt_{};
+  std::int64_t revoke_ = 0;
+  std::uint64_t nextId_ = 1;
+};
+
+}
