--- a/src/budget/SharedBudget.h
+++ b/src/budget/SharedBudget.h
@@ -123,17 +123,21 @@
   BudgetPart Borrowed(TimePoint aNow);
 
 private:
+  // Loans of different lenders may have the same id.
+  using LoanKey = std::pair<std::string, std::uint64_t>;
   struct Loan
   {
-    std::string peer_;
     BudgetPart part_;
     TimePoint end_;
-    bool renewing_ = false;
+    // Of a taken loan: when the request for its end was sent.
+    TimePoint since_;
   };
   struct OpenRequest
   {
     std::string peer_;
     TimePoint sent_;
+    // What the grant is likely to bring.
+    BudgetPart expected_;
     BudgetPart wanted_;
   };
   struct Version
@@ -142,23 +146,40 @@
     // When the next version replaced it.
     TimePoint replaced_ = TimePoint::max();
   };
+  struct PeerState
+  {
+    TimePoint lastAsked_{};
+    // What it gave when it could not give all that was asked.
+    BudgetPart offer_;
+    // Ids of its latest requests, to recognize duplicates.
+    std::deque<std::uint64_t> answered_;
+  };
 
   // Applies everything that ended up to aNow in the order of its time, so that
   // no refill is counted at a rate that had already ended.
   void Advance(TimePoint aNow);
-  std::optional<TimePoint> NextChange() const;
   void DropEnded(TimePoint aNow);
   // Sets the bucket's limits from the share and the loans.
   void ApplyLimits(TimePoint aNow);
   // The share of the slot: the lowest of all versions of the raise delay.
   BudgetPart OwnShare(TimePoint aNow) const;
+  // The part of the own share that is not lent.
+  BudgetPart OwnFree(TimePoint aNow) const;
   void NoteDemand(double aTokens, TimePoint aNow);
-  // What this host could do without at its present demand.
-  BudgetPart Spare(TimePoint aNow);
-  BudgetPart Want(TimePoint aNow);
-  void AddReturns(const std::string& aPeer,
-                  TokenRequestEntry& aEntry,
-                  TimePoint aNow);
+  // The level that covers the demand until a grant can be here.
+  double TargetLevel(TimePoint aNow) const;
+  // The demand, at most the whole budget's rate.
+  double UsefulDemand(TimePoint aNow) const;
+  BudgetPart Want(TimePoint aNow) const;
+  BudgetPart LoanFor(const BudgetPart& aWanted, TimePoint aNow);
+  // Whether a loan of this host may run on.
+  bool MayRenew(TimePoint aNow) const;
+  void TakeReturns(const std::string& aPeer,
+                   const std::vector<LoanReturn>& aReturns,
+                   TimePoint aNow);
+  void AddReturnsAndRenewals(const std::string& aPeer,
+                             TokenRequestEntry& aEntry,
+                             TimePoint aNow);
 
   std::string name_;
   SharedBudgetOptions options_;
@@ -166,13 +187,19 @@
   std::deque<Version> versions_;
   SlotValidity slot_;
   std::vector<BudgetPeer> peers_;
-  std::map<std::uint64_t, Loan> given_;
-  std::map<std::uint64_t, Loan> taken_;
+  std::map<std::string, PeerState> peerStates_;
+  std::map<LoanKey, Loan> given_;
+  std::map<LoanKey, Loan> taken_;
+  BudgetPart lent_;
+  BudgetPart borrowed_;
   std::map<std::uint64_t, OpenRequest> open_;
-  std::map<std::string, TimePoint> lastAsked_;
   std::uint64_t nextId_;
   double demand_ = 0;
   TimePoint demandAt_;
+  // The largest amount taken at once of late.
+  double unit_ = 0;
+  // The next time at which a loan, the slot or a delay ends.
+  TimePoint nextChange_ = TimePoint::max();
   TimePoint now_;
 };
 
--- a/src/budget/SlotLease.h
+++ b/src/budget/SlotLease.h
@@ -175,8 +175,10 @@
   void SetLayout(SlotLayoutPtr aLayout, TimePoint aNow);
   // The host names that the host list shows, leaving ones included.
   void SetHostList(const std::set<std::string>& aHosts, TimePoint aNow);
-  // A peer link told that another process now answers at the holder's address.
-  void OnProcessReplaced(const std::string& aOldIncarnation, TimePoint aNow);
+  // This process answers now at this address, on a link that this host opened.
+  // Call it about every second for each such link: a holder whose address
+  // belongs to another process is gone.
+  void OnPeerSeen(const SlotHolder& aPeer, TimePoint aNow);
 
   // What to do now. Call it every 100 ms and after each event.
   std::vector<SlotIntent> Tick(TimePoint aNow);
@@ -216,15 +218,16 @@
   struct Observed
   {
     SlotRow row_;
-    // When a read that found it alive was sent.
+    // When the latest read that found it alive was sent.
     std::optional<TimePoint> aliveAt_;
     // When a read first found it expired at this revision.
     std::optional<TimePoint> expiredAt_;
-    // A witness's word, for the epoch of row_.
+    // A witness stated that the holder has lapsed; that is final.
     bool witnessed_ = false;
     bool noOutage_ = false;
-    bool waitLogged_ = false;
+    std::optional<TimePoint> askedAt_;
   };
+  // The claimed or held slot.
   struct Held
   {
     SlotRow row_;
@@ -233,19 +236,20 @@
     TimePoint leaseValid_{};
     // From a confirmed outage.
     TimePoint continueValid_{};
+    TimePoint since_{};
     PredecessorOutage predecessor_ = PredecessorOutage::MayHaveContinued;
-    // Consent lists that the store may hold besides the record's.
+    // Of rewrites with unknown outcome: the store may hold these lists instead
+    // of the record's.
     std::vector<SlotHolder> pendingConsent_;
+    std::optional<TimePoint> tableAt_;
     bool renewFailed_ = false;
-    bool released_ = false;
+    bool lapseLogged_ = false;
   };
-  // An open query and who has confirmed the outage.
-  struct Query
+  // An open query about this host's own slot.
+  struct ConsentQuery
   {
     std::uint64_t id_ = 0;
     TimePoint sent_;
-    SlotId slot_;
-    std::uint64_t epoch_ = 0;
     std::set<std::string> confirmed_;
   };
 
@@ -255,27 +259,41 @@
   void TickReleasing(std::vector<SlotIntent>& aIntents, TimePoint aNow);
   void AskConsent(std::vector<SlotIntent>& aIntents, TimePoint aNow);
   void AskWitnesses(std::vector<SlotIntent>& aIntents, TimePoint aNow);
+  SlotIntent StartClaim(TimePoint aNow);
+  SlotIntent StartRewrite(TimePoint aNow);
+  SlotRecord ReleasedRecord(const SlotRecord& aRecord) const;
+  void OnUnknown(const Operation& aOperation, TimePoint aNow);
   void OnTable(const std::vector<SlotRow>& aRows,
                const Operation& aOperation,
                TimePoint aNow);
-  void OnLeaseResult(const SlotStoreResult& aResult,
-                     const Operation& aOperation,
-                     TimePoint aNow);
-  void OnWriteResult(const SlotStoreResult& aResult,
-                     const Operation& aOperation,
-                     TimePoint aNow);
-  void OnUnknown(const Operation& aOperation, TimePoint aNow);
+  void UpdateTable(const std::vector<SlotRow>& aRows, TimePoint aSent);
+  void CheckOwnRow(TimePoint aNow);
+  void FinishReadingBack(TimePoint aNow);
+  void OnGrant(const SlotStoreResult& aResult, const Operation& aOperation);
+  void OnClaim(const SlotStoreResult& aResult, TimePoint aNow);
+  void OnKeepAlive(const SlotStoreResult& aResult,
+                   const Operation& aOperation,
+                   TimePoint aNow);
+  void OnRewrite(const SlotStoreResult& aResult);
+  void OnRelease(const SlotStoreResult& aResult, TimePoint aNow);
+  void BeginHolding(TimePoint aNow);
+  void BeginSearching(TimePoint aNow, Duration aDelay);
+  void BeginRelease(TimePoint aNow);
   void Lose(const std::string& aReason, TimePoint aNow);
-  // The slot to claim now, or nothing.
-  Observed* Choose(TimePoint aNow);
-  bool MayTake(Observed& aObserved, TimePoint aNow);
+  // Chooses the slot to claim; false when there is none.
+  bool Choose(TimePoint aNow);
+  // Whether the slot may be claimed now, with the predecessor's part.
+  std::optional<PredecessorOutage> MayTake(const Observed& aObserved,
+                                           TimePoint aNow) const;
   bool AllGone(const SlotRecord& aRecord, TimePoint aNow) const;
+  bool IsGone(const SlotHolder& aHolder, TimePoint aNow) const;
+  void NoteUnlisted(TimePoint aNow);
   std::vector<SlotHolder> ConsentFromTable() const;
   std::vector<SlotHolder> ConsentNeeded() const;
   TimePoint ValidUntil() const;
+  bool Owns(const SlotRow& aRow) const;
   void Decide(SlotDecision::Kind aKind,
-              const SlotId& aSlot,
-              std::uint64_t aEpoch,
+              const SlotRow& aRow,
               std::string aReason);
 
   SlotLeaseOptions options_;
@@ -286,19 +304,29 @@
   std::map<int, Observed> table_;
   std::optional<Operation> operation_;
   std::optional<Held> held_;
-  std::optional<Query> consentQuery_;
-  std::map<std::uint64_t, Query> witnessQueries_;
+  std::optional<ConsentQuery> consentQuery_;
+  // Another slot's record that names this process, from a claim that took
+  // effect after this process had given it up. It is released.
+  std::optional<SlotRow> stray_;
+  // Open witness queries: the slot number and epoch of each.
+  std::map<std::uint64_t, std::pair<int, std::uint64_t>> witnessQueries_;
   std::vector<SlotDecision> decisions_;
-  // Since when the host list has not shown a host, or another process has
-  // answered for an incarnation.
-  std::map<std::string, TimePoint> goneSince_;
+  // By incarnation: since when the host list has not shown the host, and since
+  // when another process has answered at its address.
+  std::map<std::string, TimePoint> unlistedSince_;
+  std::map<std::string, TimePoint> replacedSince_;
   std::set<std::string> listed_;
+  std::optional<TimePoint> listedAt_;
   TimePoint started_;
   TimePoint next_;
   TimePoint lastUnreachableAnswer_;
   std::optional<TimePoint> lastSuccess_;
   bool lastFailed_ = false;
+  // Release was called: ends in Released, not in a new search.
+  bool stopping_ = false;
   TimePoint releaseAt_{};
+  int releaseTries_ = 0;
+  // A lease to revoke because its claim failed; 0 for none.
   std::int64_t revoke_ = 0;
   std::uint64_t nextId_ = 1;
 };
--- a/src/budget/SlotTypes.h
+++ b/src/budget/SlotTypes.h
@@ -69,10 +69,10 @@
   // another holder.
   std::string fenceKey_;
   std::int64_t fenceRevision_ = 0;
-  // True while all other holders of the region confirm that nobody reaches the
-  // store. Only then may a holder claim in memory, because only then does the
-  // successor get MayHaveContinued.
-  bool continuing_ = false;
+  // Until then all other holders of the region have confirmed that nobody
+  // reaches the store. A holder may claim in memory only while this holds,
+  // because only then does its successor get MayHaveContinued.
+  TimePoint outageUntil_{};
   PredecessorOutage predecessor_ = PredecessorOutage::MayHaveContinued;
 
   bool ValidAt(TimePoint aNow) const
--- /dev/null
+++ b/src/budget/TokenBucket.cc
@@ -0,0 +1,74 @@
+#include "budget/TokenBucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotsail {
+
+TokenBucket::TokenBucket(TimePoint aNow)
+  : last_(aNow)
+{
+}
+
+void
+TokenBucket::Advance(TimePoint aNow)
+{
+  if (aNow <= last_) {
+    return;
+  }
+  level_ = std::min(cap_, level_ + rate_ * ToSeconds(aNow - last_));
+  last_ = aNow;
+}
+
+void
+TokenBucket::SetLimits(double aRate, double aCap, TimePoint aNow)
+{
+  Advance(aNow);
+  rate_ = std::max(0.0, aRate);
+  cap_ = std::max(0.0, aCap);
+  level_ = std::min(level_, cap_);
+}
+
+bool
+TokenBucket::TryTake(double aTokens, TimePoint aNow)
+{
+  Advance(aNow);
+  if (aTokens < 0 || level_ < aTokens) {
+    return false;
+  }
+  level_ -= aTokens;
+  return true;
+}
+
+double
+TokenBucket::TakeUpTo(double aTokens, TimePoint aNow)
+{
+  Advance(aNow);
+  const double taken = std::clamp(aTokens, 0.0, level_);
+  level_ -= taken;
+  return taken;
+}
+
+void
+TokenBucket::Put(double aTokens, TimePoint aNow)
+{
+  Advance(aNow);
+  level_ = std::min(cap_, level_ + std::max(0.0, aTokens));
+}
+
+Duration
+TokenBucket::WaitFor(double aTokens) const
+{
+  if (level_ >= aTokens) {
+    return Duration::zero();
+  }
+  if (rate_ <= 0 || aTokens > cap_) {
+    return Duration::max();
+  }
+  // A day is longer than any wait that is of use, and converts exactly.
+  constexpr double kLongestSeconds = 86'400;
+  return FromSeconds(std::min(
+    kLongestSeconds, std::ceil((aTokens - level_) / rate_ * 1e9) / 1e9));
+}
+
+}
