Test shared budgets and slots over schedules of faults

A simulation runs the real lease and budget code of 7 hosts against fakes of the store, the host list and the network, with kills, pauses, replacements, cuts, outages and changed limits. A single bucket with the limits of all hosts together checks every window at once.

--- a/src/budget/SharedBudget.cc
+++ b/src/budget/SharedBudget.cc
@@ -301,7 +301,7 @@
   for (const BudgetPeer& peer : peers_) {
     PeerState& state = peerStates_[peer.name_];
     if (state.lastAsked_ != TimePoint{} &&
-        now_ - state.lastAsked_ < options_.askInterval_) {
+        now_ - state.lastAsked_ < state.interval_) {
       continue;
     }
     TokenRequestEntry entry;
@@ -317,6 +317,7 @@
     if (state.lastAsked_ == TimePoint{}) {
       // Nothing known yet: an equal part of what is wanted.
       const double peers = static_cast<double>(peers_.size());
+      state.interval_ = options_.askInterval_;
       state.offer_ = { want.tokens_ / peers, want.rate_ / peers, 0 };
     }
     BudgetPart expected;
@@ -483,7 +484,12 @@
     }
   }
   const BudgetPart& part = aGrant.part_;
-  BudgetPart& offer = peerStates_[aPeer].offer_;
+  PeerState& state = peerStates_[aPeer];
+  const bool isEmpty = aGrant.loan_ == 0 && aGrant.renewed_.empty();
+  state.interval_ =
+    isEmpty ? std::min(2 * state.interval_, options_.longestAskInterval_)
+            : options_.askInterval_;
+  BudgetPart& offer = state.offer_;
   offer.tokens_ = part.tokens_ < open.wanted_.tokens_
                     ? part.tokens_
                     : std::max(offer.tokens_, 2 * part.tokens_);
--- a/src/budget/SharedBudget.h
+++ b/src/budget/SharedBudget.h
@@ -46,8 +46,10 @@
   Duration raiseDelay_ = std::chrono::seconds(10);
   // Lends refill rate and cap together. False: loans of tokens alone.
   bool lendRate_ = true;
-  // Time between two requests to the same peer.
+  // Time between two requests to the same peer. After grants of nothing it
+  // doubles up to the longer one.
   Duration askInterval_ = std::chrono::milliseconds(100);
+  Duration longestAskInterval_ = std::chrono::milliseconds(400);
   // The time constant of the demand estimate.
   Duration demandWindow_ = std::chrono::milliseconds(500);
   // Ids of loans and requests start here; a random number per process keeps
@@ -149,6 +151,8 @@
   struct PeerState
   {
     TimePoint lastAsked_{};
+    // Doubled after each grant of nothing.
+    Duration interval_{};
     // What it gave when it could not give all that was asked.
     BudgetPart offer_;
     // Ids of its latest requests, to recognize duplicates.
--- /dev/null
+++ b/src/budget/testing/World.h
@@ -0,0 +1,198 @@
+#pragma once
+
+// A deterministic simulation of entry hosts with fakes of the store, the host
+// list and the network, for the property tests and the measurements. Each host
+// runs the real SlotLease and SharedBudget on a clock of its own.
+//
+//   World world(options);
+//   world.Start();
+//   world.RunUntil(seconds(60));
+//   world.Take(host, 1);   // a request at that host
+
+#include "budget/SharedBudget.h"
+#include "budget/SlotLease.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+struct WorldOptions
+{
+  unsigned seed_ = 1;
+  std::vector<std::pair<std::string, int>> regions_{ { "a", 3 },
+                                                     { "b", 2 },
+                                                     { "c", 2 } };
+  double rate_ = 50;
+  double burst_ = 100;
+  Duration withinRegion_ = std::chrono::microseconds(500);
+  Duration betweenRegions_ = std::chrono::milliseconds(55);
+  Duration toStore_ = std::chrono::milliseconds(3);
+  Duration tick_ = std::chrono::milliseconds(100);
+  // Of messages between hosts and of store calls.
+  double lost_ = 0;
+  double duplicated_ = 0;
+  double late_ = 0;
+  // Largest relative deviation of a host's clock speed.
+  double drift_ = 0;
+  // Whether store leases run on during a store outage, or all start anew.
+  bool leasesRunInOutage_ = false;
+  SharedBudgetOptions budget_;
+  SlotLeaseOptions lease_;
+};
+
+// Keys with revisions and leases, and the transactions of SlotIntent.
+class FakeStore
+{
+public:
+  explicit FakeStore(Duration aLeaseTime);
+  SlotStoreResult Apply(const SlotIntent& aIntent, Duration aNow);
+  void ExtendLeases(Duration aNow);
+
+private:
+  struct Value
+  {
+    std::string text_;
+    std::int64_t revision_ = 0;
+    std::int64_t lease_ = 0;
+  };
+  void Expire(Duration aNow);
+  std::int64_t RevisionOf(const std::string& aKey) const;
+  void Put(const std::string& aKey, std::string aText, std::int64_t aLease);
+
+  Duration leaseTime_;
+  std::map<std::string, Value> values_;
+  std::map<std::int64_t, Duration> leases_;
+  std::int64_t revision_ = 0;
+  std::int64_t lastLease_ = 0;
+};
+
+struct Process
+{
+  SlotHolder self_;
+  std::string region_;
+  std::unique_ptr<SlotLease> lease_;
+  std::unique_ptr<SharedBudget> budget_;
+  // What the lease published last.
+  SlotValidity validity_;
+  bool killed_ = false;
+  bool paused_ = false;
+  bool cutFromStore_ = false;
+  bool cutFromPeers_ = false;
+  // What arrived during a pause.
+  std::vector<std::function<void()>> inbox_;
+  double clockSpeed_ = 1;
+  Duration clockOffset_{};
+  Duration lastSeenPeers_{};
+  // The number of versions that this process has adopted.
+  std::size_t adopted_ = 0;
+};
+
+class World
+{
+public:
+  // One configuration version.
+  struct VersionInForce
+  {
+    Duration committed_{};
+    BudgetLimits limits_;
+  };
+
+  explicit World(const WorldOptions& aOptions);
+
+  // Starts one process on each host; the first version is in force.
+  void Start();
+  void RunUntil(Duration aTime);
+  void At(Duration aTime, std::function<void()> aAction);
+  Duration Now() const { return now_; }
+  std::mt19937& Random() { return random_; }
+  double Uniform(double aLow, double aHigh);
+
+  std::size_t Hosts() const { return hosts_.size(); }
+  // The process that now answers on the host; null when it was killed.
+  Process* On(std::size_t aHost);
+  bool Take(std::size_t aHost, double aTokens);
+  double TakeUpTo(std::size_t aHost, double aTokens);
+
+  void Kill(std::size_t aHost);
+  // Starts a new process at the host's address.
+  void Replace(std::size_t aHost);
+  void Pause(std::size_t aHost);
+  void Resume(std::size_t aHost);
+  void SetStoreDown(bool aDown);
+  // Cuts the links between this region and the others.
+  void CutRegion(const std::string& aRegion, bool aCut);
+  // Commits a version; each host adopts it within aSpread.
+  void Commit(double aRate,
+              double aBurst,
+              SlotLayoutPtr aLayout,
+              Duration aSpread);
+
+  // The first violated assertion, or empty.
+  const std::string& Violation() const { return violation_; }
+  std::size_t Takeovers() const { return takeovers_; }
+  std::size_t Continuations() const { return continuations_; }
+  std::size_t Messages() const { return messages_; }
+  double Admitted() const { return admitted_; }
+
+private:
+  struct Event
+  {
+    Duration time_;
+    std::size_t sequence_;
+    std::function<void()> action_;
+    bool operator>(const Event& aOther) const
+    {
+      return time_ != aOther.time_ ? time_ > aOther.time_
+                                   : sequence_ > aOther.sequence_;
+    }
+  };
+
+  TimePoint Local(const Process& aProcess) const;
+  void Tick(Process* aProcess);
+  void AfterLease(Process& aProcess);
+  void CarryOut(Process* aProcess, const SlotIntent& aIntent);
+  void Ask(Process* aProcess, const SlotIntent& aIntent);
+  void SendRequests(Process* aProcess);
+  void Deliver(Process* aProcess, std::function<void()> aAction);
+  // Calls aArrive at the other host, perhaps late, twice or never.
+  void Send(Process* aFrom,
+            const std::string& aAddress,
+            std::function<void(Process*)> aArrive);
+  bool IsCut(const Process& aLeft, const Process& aRight) const;
+  Duration Delay(Duration aUsual);
+  void UpdateHostList();
+  void AdoptDue(Process& aProcess);
+  void CheckHolders(const Process& aProcess);
+  void NoteAdmitted(double aTokens);
+
+  WorldOptions options_;
+  std::mt19937 random_;
+  Duration now_{};
+  std::size_t sequence_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  FakeStore store_;
+  bool storeDown_ = false;
+  std::set<std::string> cutRegions_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::vector<Process*> hosts_;
+  std::vector<VersionInForce> versions_;
+  std::map<std::size_t, Duration> adoptBy_;
+  // A single bucket with the limits of all hosts together. It admits exactly
+  // what keeps every window at or below rate * t + burst.
+  TokenBucket reference_;
+  std::string violation_;
+  std::size_t takeovers_ = 0;
+  std::size_t continuations_ = 0;
+  std::size_t messages_ = 0;
+  double admitted_ = 0;
+  std::uint64_t ids_ = 0;
+};
+
+}
