--- a/src/backend/testing/FairQueueTest.cc
+++ b/src/backend/testing/FairQueueTest.cc
@@ -103,7 +103,10 @@
         open.insert(id);
         const std::string customer(1, static_cast<char>('a' + random() % 4));
         queue.Push(
-          { id, customer, deadline, 1.0 + random() % 3 }, 3, now, refused);
+          { id, customer, deadline, static_cast<double>(1 + random() % 3) },
+          3,
+          now,
+          refused);
       } else if (event < 6) {
         if (const auto next = queue.Pop(now, refused)) {
           end(*next);
--- a/src/backend/testing/QuarantineTest.cc
+++ b/src/backend/testing/QuarantineTest.cc
@@ -239,6 +239,19 @@
     die("c", false);
     CHECK(quarantine.Check(kPoison, now) == QuarantineVerdict::Run);
   }
+  SECTION("two crashes at once under a popular request")
+  {
+    const std::string popular = Innocent(1);
+    // Without the earlier deaths, which would raise the number needed.
+    quarantine = Quarantine{};
+    quarantine.Completed(popular, now);
+    now += std::chrono::seconds(1);
+    for (const char* server : { "c", "d" }) {
+      quarantine.Died(popular, server, now);
+      quarantine.ServerChecked(server, false, now, now);
+    }
+    CHECK(quarantine.Check(popular, now) == QuarantineVerdict::Run);
+  }
   SECTION("a suspected request runs once at a time")
   {
     quarantine.Started(kPoison);
