Add the decision code of steering

Callers need an ordered host list, regions need protection from overload, and bytes between regions are capped for all hosts of a region together.

LookupService orders hosts by weighted rendezvous hashing; RegionWeights moves weights by a step limit with hysteresis, freeze and decay; ShiftCaps reserves and settles bytes per region pair; RegionAdmission admits relayed requests by the destination's own share of capacity; DrainPlan forecasts a drain and names what binds it; RequestSteering chooses between own region, relay and refusal.

A reservation that is sent late adds to what the refilled budget sends. ShiftCaps therefore divides the second's worth of the cap between the budget's burst and the reserved bytes.

steering_test passes under the address and undefined-behaviour sanitizers: 17 cases.

--- /dev/null
+++ b/src/steering/BlockTable.cc
@@ -0,0 +1,141 @@
+#include "steering/BlockTable.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace peridotsail {
+
+namespace {
+
+constexpr std::size_t kMinCapacity = 16;
+// The array is copied at each growth; a small factor keeps the peak low.
+constexpr double kGrowth = 1.25;
+
+std::size_t
+CapacityFor(std::size_t aBlocks)
+{
+  const double entries = static_cast<double>(aBlocks) / BlockTable::kMaxLoad;
+  return std::max(kMinCapacity,
+                  static_cast<std::size_t>(std::ceil(entries)) + 1);
+}
+
+}
+
+std::uint64_t
+BlockKey(std::string_view aBlock)
+{
+  // 0 marks a free entry.
+  return std::max<std::uint64_t>(1, StableHash(aBlock));
+}
+
+BlockTable::BlockTable(std::size_t aBlocks)
+  : entries_(CapacityFor(aBlocks))
+{
+}
+
+// The high part of key * capacity spreads keys over any capacity without a
+// division; a power of two would waste up to half of the array.
+std::size_t
+BlockTable::HomeOf(std::uint64_t aKey) const
+{
+  __extension__ using Wide = unsigned __int128;
+  return static_cast<std::size_t>((Wide(aKey) * entries_.size()) >> 64);
+}
+
+std::size_t
+BlockTable::Next(std::size_t aIndex) const
+{
+  return aIndex + 1 == entries_.size() ? 0 : aIndex + 1;
+}
+
+void
+BlockTable::Set(std::uint64_t aKey, std::initializer_list<std::uint16_t> aSites)
+{
+  Sites sites;
+  sites.fill(kNoSite);
+  std::copy_n(aSites.begin(), std::min(aSites.size(), kSites), sites.begin());
+  Set(aKey, sites);
+}
+
+void
+BlockTable::Set(std::uint64_t aKey, const Sites& aSites)
+{
+  const double limit = static_cast<double>(entries_.size()) * kMaxLoad;
+  if (static_cast<double>(size_ + 1) > limit) {
+    Rebuild(static_cast<std::size_t>(
+      std::ceil(static_cast<double>(entries_.size()) * kGrowth)));
+  }
+  std::size_t index = HomeOf(aKey);
+  while (entries_[index].key_ != 0 && entries_[index].key_ != aKey) {
+    index = Next(index);
+  }
+  if (entries_[index].key_ == 0) {
+    entries_[index].key_ = aKey;
+    ++size_;
+  }
+  entries_[index].sites_ = aSites;
+}
+
+const BlockTable::Sites*
+BlockTable::Find(std::uint64_t aKey) const
+{
+  std::size_t index = HomeOf(aKey);
+  while (entries_[index].key_ != 0) {
+    if (entries_[index].key_ == aKey) {
+      return &entries_[index].sites_;
+    }
+    index = Next(index);
+  }
+  return nullptr;
+}
+
+bool
+BlockTable::Erase(std::uint64_t aKey)
+{
+  std::size_t hole = HomeOf(aKey);
+  while (entries_[hole].key_ != aKey) {
+    if (entries_[hole].key_ == 0) {
+      return false;
+    }
+    hole = Next(hole);
+  }
+  // Moves later entries of the run back, so that no run is interrupted.
+  const std::size_t capacity = entries_.size();
+  for (std::size_t index = Next(hole); entries_[index].key_ != 0;
+       index = Next(index)) {
+    const std::size_t home = HomeOf(entries_[index].key_);
+    const std::size_t fromHome = (index + capacity - home) % capacity;
+    const std::size_t fromHole = (index + capacity - hole) % capacity;
+    if (fromHome >= fromHole) {
+      entries_[hole] = entries_[index];
+      hole = index;
+    }
+  }
+  entries_[hole] = Entry{};
+  --size_;
+  return true;
+}
+
+std::size_t
+BlockTable::Bytes() const
+{
+  return entries_.capacity() * sizeof(Entry);
+}
+
+void
+BlockTable::Rebuild(std::size_t aCapacity)
+{
+  std::vector<Entry> old(aCapacity);
+  old.swap(entries_);
+  size_ = 0;
+  for (const Entry& entry : old) {
+    if (entry.key_ != 0) {
+      Set(entry.key_, entry.sites_);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/steering/RegionWeights.cc
@@ -0,0 +1,247 @@
+#include "steering/RegionWeights.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotsail {
+
+namespace {
+
+// Stands in for a region without a configured capacity, only in proportions.
+constexpr double kUnlimitedCapacity = 1000;
+// A host that was paused does not move its weights for the whole pause at once.
+constexpr double kMaxTickSeconds = 2;
+// A distance at which a region counts half as much as one next door.
+constexpr double kHalfWeightSeconds = 0.02;
+constexpr Duration kUnknownRoundTrip = std::chrono::milliseconds(200);
+// Keeps a region without headroom in the order, after all others.
+constexpr double kMinRelayWeight = 1e-9;
+
+double
+StepTowards(double aFrom, double aTo, double aStep)
+{
+  return aFrom + std::clamp(aTo - aFrom, -aStep, aStep);
+}
+
+bool
+IsSane(double aValue)
+{
+  return std::isfinite(aValue) && aValue >= 0;
+}
+
+}
+
+RegionWeights::RegionWeights(RegionWeightsOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+void
+RegionWeights::Adopt(const Configuration& aConfiguration, TimePoint aNow)
+{
+  if (regions_.empty()) {
+    ticked_ = aNow;
+  }
+  std::map<std::string, Region> next;
+  for (const RegionConfig& config : aConfiguration.regions_) {
+    const auto known = regions_.find(config.name_);
+    Region region = known == regions_.end() ? Region{} : known->second;
+    region.capacity_ = config.capacityPerSecond_ > 0 ? config.capacityPerSecond_
+                                                     : kUnlimitedCapacity;
+    region.draining_ =
+      aConfiguration.IsDraining(DrainKind::Region, config.name_);
+    if (known == regions_.end()) {
+      region.spill_ = region.capacity_ * options_.assumedHeadroom_;
+    }
+    next.emplace(config.name_, region);
+  }
+  regions_ = std::move(next);
+}
+
+bool
+RegionWeights::Observe(const std::string& aRegion,
+                       const RegionMeasurement& aMeasurement,
+                       TimePoint aNow)
+{
+  const auto found = regions_.find(aRegion);
+  if (found == regions_.end() || !IsSane(aMeasurement.utilization_) ||
+      !IsSane(aMeasurement.headroomPerSecond_)) {
+    return false;
+  }
+  Region& region = found->second;
+  const bool repeated =
+    region.measured_ && aMeasurement.measuredAt_ <= region.last_.measuredAt_;
+  if (repeated || aMeasurement.measuredAt_ > aNow ||
+      aNow - aMeasurement.measuredAt_ > options_.freshFor_) {
+    return false;
+  }
+  region.last_ = aMeasurement;
+  // More than the configured capacity is not believed.
+  region.last_.headroomPerSecond_ =
+    std::min(aMeasurement.headroomPerSecond_, region.capacity_);
+  region.measured_ = true;
+  return true;
+}
+
+void
+RegionWeights::SetRoundTrip(const std::string& aFrom,
+                            const std::string& aTo,
+                            Duration aRoundTrip)
+{
+  roundTrips_[{ aFrom, aTo }] = aRoundTrip;
+}
+
+void
+RegionWeights::OnRefused(const std::string& aRegion, TimePoint aNow)
+{
+  const auto found = regions_.find(aRegion);
+  if (found != regions_.end()) {
+    found->second.refusedAt_ = aNow;
+  }
+}
+
+void
+RegionWeights::Tick(TimePoint aNow)
+{
+  const double seconds =
+    std::clamp(ToSeconds(aNow - ticked_), 0.0, kMaxTickSeconds);
+  ticked_ = std::max(ticked_, aNow);
+  for (auto& [name, region] : regions_) {
+    Move(region, seconds, aNow);
+  }
+}
+
+void
+RegionWeights::Move(Region& aRegion, double aSeconds, TimePoint aNow) const
+{
+  switch (StateOf(aRegion, aNow)) {
+    case WeightState::Frozen:
+      return;
+    case WeightState::Measured: {
+      const double step = options_.stepPerSecond_ * aSeconds;
+      const double utilization = aRegion.last_.utilization_;
+      if (utilization > options_.highUtilization_) {
+        const double middle =
+          (options_.highUtilization_ + options_.lowUtilization_) / 2;
+        const double target = aRegion.keep_ * middle / utilization;
+        aRegion.keep_ =
+          StepTowards(aRegion.keep_, std::max(options_.floor_, target), step);
+      } else if (utilization < options_.lowUtilization_) {
+        aRegion.keep_ = StepTowards(aRegion.keep_, 1, step);
+      }
+      aRegion.spill_ = StepTowards(aRegion.spill_,
+                                   aRegion.last_.headroomPerSecond_,
+                                   step * aRegion.capacity_);
+      return;
+    }
+    case WeightState::Configured:
+    case WeightState::Decaying: {
+      const double step = options_.decayPerSecond_ * aSeconds;
+      aRegion.keep_ = StepTowards(aRegion.keep_, 1, step);
+      aRegion.spill_ =
+        StepTowards(aRegion.spill_,
+                    aRegion.capacity_ * options_.assumedHeadroom_,
+                    step * aRegion.capacity_);
+      return;
+    }
+  }
+}
+
+WeightState
+RegionWeights::StateOf(const Region& aRegion, TimePoint aNow) const
+{
+  if (!aRegion.measured_) {
+    return WeightState::Configured;
+  }
+  const Duration age = aNow - aRegion.last_.measuredAt_;
+  if (age <= options_.freshFor_) {
+    return WeightState::Measured;
+  }
+  return age <= options_.decayAfter_ ? WeightState::Frozen
+                                     : WeightState::Decaying;
+}
+
+double
+RegionWeights::HeadroomOf(const Region& aRegion, TimePoint aNow) const
+{
+  const bool fresh = StateOf(aRegion, aNow) == WeightState::Measured;
+  return fresh ? aRegion.last_.headroomPerSecond_ : aRegion.spill_;
+}
+
+RegionShare
+RegionWeights::Share(const std::string& aRegion) const
+{
+  const auto found = regions_.find(aRegion);
+  if (found == regions_.end()) {
+    return {};
+  }
+  const Region& region = found->second;
+  return { region.keep_,
+           region.draining_ ? 0 : region.spill_,
+           region.draining_ };
+}
+
+WeightState
+RegionWeights::State(const std::string& aRegion, TimePoint aNow) const
+{
+  const auto found = regions_.find(aRegion);
+  return found == regions_.end() ? WeightState::Configured
+                                 : StateOf(found->second, aNow);
+}
+
+std::vector<RegionCandidate>
+RegionWeights::RelayOrder(const std::string& aOwnRegion,
+                          std::uint64_t aKey,
+                          TimePoint aNow) const
+{
+  std::vector<std::pair<double, RegionCandidate>> scored;
+  for (const auto& [name, region] : regions_) {
+    if (name == aOwnRegion || region.draining_) {
+      continue;
+    }
+    const auto known = roundTrips_.find({ aOwnRegion, name });
+    const Duration roundTrip =
+      known == roundTrips_.end() ? kUnknownRoundTrip : known->second;
+    const double headroom = HeadroomOf(region, aNow);
+    const bool paused = region.refusedAt_ != TimePoint::min() &&
+                        aNow - region.refusedAt_ < options_.refusalPause_;
+    const double weight = paused
+                            ? 0
+                            : headroom * kHalfWeightSeconds /
+                                (kHalfWeightSeconds + ToSeconds(roundTrip));
+    scored.emplace_back(RendezvousScore(aKey,
+                                        StableHash(name),
+                                        std::max(kMinRelayWeight, weight)),
+                        RegionCandidate{ name, headroom, roundTrip });
+  }
+  std::sort(
+    scored.begin(), scored.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  std::vector<RegionCandidate> order;
+  order.reserve(scored.size());
+  for (auto& [score, candidate] : scored) {
+    order.push_back(std::move(candidate));
+  }
+  return order;
+}
+
+std::string_view
+NameOf(WeightState aState)
+{
+  switch (aState) {
+    case WeightState::Configured:
+      return "configured";
+    case WeightState::Measured:
+      return "measured";
+    case WeightState::Frozen:
+      return "frozen";
+    case WeightState::Decaying:
+      break;
+  }
+  return "decaying";
+}
+
+}
--- /dev/null
+++ b/src/steering/testing/DrainPlanTest.cc
@@ -0,0 +1,129 @@
+#include "steering/DrainPlan.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotsail;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double kUncapped = std::numeric_limits<double>::infinity();
+
+struct Case
+{
+  const char* name_;
+  DrainKind kind_;
+  double demand_;
+  std::vector<DrainDestination> destinations_;
+  DrainBound bound_;
+  double moveSeconds_;
+  double shortfall_;
+};
+
+}
+
+// Guards the forecast that operators decide by: its duration, what binds it and
+// what cannot be moved. Demands are 1 KB a request and 16 KB a response, the
+// time to live is 5 s, a cold request costs twice as much, weights move by 0.05
+// a second.
+TEST_CASE("the slowest constraint sets the duration of a drain")
+{
+  const std::vector<Case> cases{
+    { "weights",
+      DrainKind::Region,
+      100,
+      { { "b", 1000, 0s } },
+      DrainBound::StepLimit,
+      20,
+      0 },
+    // 100 requests/s of 16,384 bytes over 5 s of cached answers: 8.192 MB
+    // through 100 KB/s.
+    { "responses",
+      DrainKind::Region,
+      100,
+      { { "b", 1000, 0s, kUncapped, 100e3 } },
+      DrainBound::ShiftCap,
+      81.92,
+      0 },
+    // 100 requests/s of 1,024 bytes: 512 KB through 10 KB/s.
+    { "requests",
+      DrainKind::Region,
+      100,
+      { { "b", 1000, 0s, 10e3, 1e9 } },
+      DrainBound::ShiftCap,
+      51.2,
+      0 },
+    // 100 * T / (T + 30) = 90 requests/s: T = 270.
+    { "cold caches",
+      DrainKind::Region,
+      90,
+      { { "b", 100, 30s } },
+      DrainBound::Headroom,
+      270,
+      0 },
+    { "warm-up",
+      DrainKind::Region,
+      10,
+      { { "b", 1000, 60s } },
+      DrainBound::WarmUp,
+      60,
+      0 },
+    { "no room",
+      DrainKind::Region,
+      100,
+      { { "b", 60, 0s } },
+      DrainBound::StepLimit,
+      12,
+      40 },
+    { "two regions",
+      DrainKind::Region,
+      100,
+      { { "b", 1000, 0s, kUncapped, 50e3 },
+        { "c", 1000, 0s, kUncapped, 50e3 } },
+      DrainBound::ShiftCap,
+      81.92,
+      0 },
+    { "host",
+      DrainKind::Host,
+      100,
+      { { "a", 200, 30s } },
+      DrainBound::TimeToLive,
+      0,
+      0 },
+    // The steady flow of 16,384-byte responses through 819,200 bytes/s is 50
+    // requests/s; the own region takes 30.
+    { "server",
+      DrainKind::BackendServer,
+      100,
+      { { "a", 30, 0s }, { "b", 1000, 0s, kUncapped, 819'200 } },
+      DrainBound::TimeToLive,
+      0,
+      20 },
+    { "closed cap",
+      DrainKind::Region,
+      100,
+      { { "b", 1000, 0s, 0, 0 } },
+      DrainBound::Nothing,
+      0,
+      100 },
+  };
+  for (const Case& row : cases) {
+    INFO(row.name_);
+    DrainDemand demand;
+    demand.requestsPerSecond_ = row.demand_;
+    const DrainPlan plan = PlanDrain(row.kind_, demand, row.destinations_);
+    CHECK(NameOf(plan.bound_) == NameOf(row.bound_));
+    CHECK(ToSeconds(plan.moveTime_) ==
+          Approx(row.moveSeconds_).epsilon(0.02).margin(0.01));
+    CHECK(plan.shortfallPerSecond_ == Approx(row.shortfall_).margin(0.1));
+    const double rest = row.shortfall_ / row.demand_;
+    CHECK(plan.KeepAt(plan.moveTime_ + 1s) == Approx(rest).margin(0.01));
+    CHECK(plan.Finished(24h) == (row.shortfall_ == 0));
+    CHECK_FALSE(plan.Finished(plan.moveTime_));
+    double moved = 0;
+    for (const DrainPart& part : plan.parts_) {
+      moved += part.requestsPerSecond_;
+    }
+    CHECK(moved == Approx(row.demand_ - row.shortfall_).margin(0.1));
+  }
+}
