Test the freeze of weights after a low measurement

The test ended on a high measurement, whose target equals the frozen weight, so it also passed without the freeze. It now ends on a low one.

--- a/src/steering/testing/RegionWeightsTest.cc
+++ b/src/steering/testing/RegionWeightsTest.cc
@@ -176,9 +176,12 @@
   CHECK(run(0.8, 20) == Approx(0.8));
   CHECK(run(9, 300) == Approx(0.05));
   CHECK(weights.State("a", now) == WeightState::Measured);
-  // Frozen from 3 s to 15 s, then 0.02 a second.
-  CHECK(run(-1, 15) == Approx(0.05).margin(1e-9));
-  CHECK(run(-1, 10) == Approx(0.25));
+  // The last measurement counts for 3 s. Weights are frozen from then to 15 s
+  // and decay by 0.02 a second after that.
+  CHECK(run(0.5, 1) == Approx(0.1));
+  CHECK(run(-1, 3) == Approx(0.25));
+  CHECK(run(-1, 12) == Approx(0.25));
+  CHECK(run(-1, 10) == Approx(0.45));
   CHECK(weights.State("a", now) == WeightState::Decaying);
   CHECK(run(-1, 60) == 1);
   CHECK(weights.Share("a").spill_ == Approx(kCapacity * 0.1));
