--- a/src/steering/RegionWeights.cc
+++ b/src/steering/RegionWeights.cc
@@ -170,6 +170,27 @@
   return fresh ? aRegion.last_.headroomPerSecond_ : aRegion.spill_;
 }
 
+double
+RegionWeights::HeadroomOf(const std::string& aRegion, TimePoint aNow) const
+{
+  const auto found = regions_.find(aRegion);
+  return found == regions_.end() ? 0 : HeadroomOf(found->second, aNow);
+}
+
+double
+RegionWeights::DemandOf(const std::string& aRegion) const
+{
+  const auto found = regions_.find(aRegion);
+  if (found == regions_.end()) {
+    return 0;
+  }
+  const Region& region = found->second;
+  // Unmeasured demand counts as the whole capacity: the forecast is then the
+  // slowest one.
+  return region.capacity_ *
+         (region.measured_ ? std::min(1.0, region.last_.utilization_) : 1);
+}
+
 RegionShare
 RegionWeights::Share(const std::string& aRegion) const
 {
--- a/src/steering/RegionWeights.h
+++ b/src/steering/RegionWeights.h
@@ -101,6 +101,10 @@
 
   RegionShare Share(const std::string& aRegion) const;
   WeightState State(const std::string& aRegion, TimePoint aNow) const;
+  // Requests per second that the region takes in addition, as last measured.
+  double HeadroomOf(const std::string& aRegion, TimePoint aNow) const;
+  // Requests per second that the region serves: its capacity in use.
+  double DemandOf(const std::string& aRegion) const;
   // The other regions that may serve a request, best first. Nearer regions and
   // those with more headroom come first for more of the keys, so that hosts
   // that decide at the same time do not all choose the same region.
--- a/src/steering/testing/DrainPlanTest.cc
+++ b/src/steering/testing/DrainPlanTest.cc
@@ -1,4 +1,5 @@
 #include "steering/DrainPlan.h"
+#include "steering/HostSteering.h"
 
 #include <catch2/catch.hpp>
 
@@ -127,3 +128,46 @@
     CHECK(moved == Approx(row.demand_ - row.shortfall_).margin(0.1));
   }
 }
+
+// Guards the schedule of a region's drain in look-ups, and against a replaced
+// host that starts the drain again.
+TEST_CASE("look-ups follow the schedule of a region's drain")
+{
+  auto before = std::make_shared<Configuration>();
+  for (const char* name : { "a", "b" }) {
+    before->regions_.push_back({ name, {}, 1, 100 });
+  }
+  auto after = std::make_shared<Configuration>(*before);
+  after->drains_.push_back({ DrainKind::Region, "a" });
+  TimePoint now{ 1000s };
+  HostSteering steering("a");
+  HostSteering replaced("a");
+  for (HostSteering* host : { &steering, &replaced }) {
+    host->SetHosts({ { "a0", "a", "a1", "x" }, { "b0", "b", "b1", "x" } });
+  }
+  const auto namedFirst = [](const HostSteering& aHost) {
+    int count = 0;
+    for (int i = 0; i < 2000; ++i) {
+      const std::string block = std::to_string(i);
+      count += aHost.Lookup(block).hosts_.front()->name_ == "a0" ? 1 : 0;
+    }
+    return count / 2000.0;
+  };
+  steering.Adopt(before, now);
+  steering.Observe("a", { now, 0.5, 50 }, now);
+  steering.Observe("b", { now, 0.2, 80 }, now);
+  CHECK(namedFirst(steering) == 1);
+  steering.Adopt(after, now);
+  replaced.Adopt(after, now);
+  CHECK(namedFirst(replaced) == 0);
+  const DrainPlan plan = steering.Drains().front().plan_;
+  REQUIRE(plan.Feasible());
+  CHECK(plan.moveTime_ == 20s);
+  for (int second = 0; second <= 22; ++second) {
+    steering.Tick(now + std::chrono::seconds(second));
+    CHECK(namedFirst(steering) ==
+          Approx(1 - std::min(1.0, second / 20.0)).margin(0.03));
+  }
+  steering.Adopt(before, now + 23s);
+  CHECK(namedFirst(steering) == 1);
+}
