Compare steering with its alternatives in a simulation

Steering is chosen over simpler ways for its caps, its refusals and its headroom in drains, and this has to be checked with every change.

--- a/src/steering/DrainPlan.h
+++ b/src/steering/DrainPlan.h
@@ -69,7 +69,7 @@
   Duration timeToLive_ = std::chrono::seconds(5);
   // Cost of a request that meets a cold cache, relative to a warm one.
   double coldCost_ = 2;
-  double stepPerSecond_ = 0.05;
+  double stepPerSecond_ = 0.1;
 };
 
 struct DrainPart
--- a/src/steering/RegionWeights.h
+++ b/src/steering/RegionWeights.h
@@ -34,7 +34,7 @@
 struct RegionWeightsOptions
 {
   // The largest change of a part that a region keeps or receives.
-  double stepPerSecond_ = 0.05;
+  double stepPerSecond_ = 0.1;
   // Hysteresis band of the utilization of a region's slots or capacity.
   double highUtilization_ = 0.9;
   double lowUtilization_ = 0.7;
--- a/src/steering/testing/RegionWeightsTest.cc
+++ b/src/steering/testing/RegionWeightsTest.cc
@@ -154,7 +154,9 @@
 TEST_CASE("weights move gradually, freeze and decay to the capacity")
 {
   TimePoint now{ 1000s };
-  RegionWeights weights;
+  RegionWeightsOptions options;
+  options.stepPerSecond_ = 0.05;
+  RegionWeights weights(options);
   weights.Adopt(MakeConfiguration(), now);
   const auto run = [&](double aUtilization, int aSeconds) {
     double worstStep = 0;
--- /dev/null
+++ b/src/steering/testing/SteeringSimulationTest.cc
@@ -0,0 +1,36 @@
+#include "steering/testing/SteeringSimulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotsail::testing;
+
+// Guards the reasons for the design against a change that makes steering worse
+// than its alternatives: caps hold where relays without caps exceed them, fewer
+// requests are refused than without relays, the queue stays shorter, and a
+// drain ends within its forecast.
+TEST_CASE("steering keeps its bounds in a failure and a drain")
+{
+  for (const bool stops : { false, true }) {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      const auto run = [&](SteeringPolicy aPolicy) {
+        return RunSteeringSimulation({ aPolicy, seed, stops });
+      };
+      const SimulationResult steered = run(SteeringPolicy::Peridotsail);
+      const SimulationResult uncapped = run(SteeringPolicy::NoCaps);
+      const SimulationResult nearest = run(SteeringPolicy::NearestOnly);
+      const SimulationResult leastLoaded = run(SteeringPolicy::LeastLoaded);
+      INFO("seed " << seed << " measurements stop " << stops);
+      CHECK(steered.worstCapSeconds_ <= 1);
+      CHECK(uncapped.worstCapSeconds_ > 1);
+      CHECK(leastLoaded.worstCapSeconds_ > 10);
+      CHECK(steered.refused_ * 100 < nearest.refused_);
+      CHECK(steered.refused_ * 10 < leastLoaded.refused_);
+      CHECK(steered.worstQueue_ < nearest.worstQueue_);
+      CHECK(steered.p99Ms_ < nearest.p99Ms_);
+      CHECK(steered.p99Ms_ < leastLoaded.p99Ms_);
+      CHECK(steered.headroomInDrain_ >= 0);
+      CHECK(steered.drainSeconds_ > nearest.drainSeconds_);
+      CHECK(steered.drainSeconds_ <= steered.forecastSeconds_);
+    }
+  }
+}
