Add the claim registry, its segments and the slot map

A non-idempotent request must not run twice when its caller repeats it, its holder dies or pauses, or the store loses an answer. ClaimRegistry decides for one slot and one tenure; ClaimCommitter brings one record at a time into the store under the slot's fence; ClaimSegment is the CBOR form; SlotMap maps a key to a slot and marks keys that a change of slots moved.

--- /dev/null
+++ b/src/once/ClaimSegment.cc
@@ -0,0 +1,233 @@
+#include "once/ClaimSegment.h"
+
+#include "base/Hash.h"
+
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <tuple>
+#include <utility>
+
+namespace peridotsail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kFormat = 1;
+// Fields of one entry in their order.
+constexpr std::size_t kEntryFields = 8;
+// Key, fingerprint, numbers and CBOR's lengths of one entry.
+constexpr std::size_t kEntryOverhead = 40;
+constexpr std::size_t kDigestDigits = 32;
+constexpr std::int64_t kMaxMilliseconds = 86'400'000;
+
+// Refuses input with deep nesting before the recursive parser of the library
+// sees it: a record of a megabyte of array headers would exhaust the stack.
+class DepthCheck : public nlohmann::json_sax<Json>
+{
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= kMaxDepth; }
+  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
+  bool end_object() override { return Leave(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override
+  {
+    return false;
+  }
+
+private:
+  static constexpr int kMaxDepth = 4;
+
+  bool Leave()
+  {
+    --depth_;
+    return true;
+  }
+
+  int depth_ = 0;
+};
+
+std::int64_t
+ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+Json
+EncodeEntry(const ClaimEntry& aEntry)
+{
+  const std::string& body = aEntry.outcome_.body_;
+  return Json::array({ aEntry.key_,
+                       aEntry.fingerprint_,
+                       aEntry.run_,
+                       static_cast<int>(aEntry.stage_),
+                       ToMilliseconds(aEntry.age_),
+                       aEntry.outcome_.status_,
+                       aEntry.outcome_.contentType_,
+                       aEntry.outcome_.bodyKept_
+                         ? Json::binary({ body.begin(), body.end() })
+                         : Json(nullptr) });
+}
+
+std::uint64_t
+Unsigned(const Json& aValue, std::uint64_t aMaximum)
+{
+  if (!aValue.is_number_unsigned() || aValue.get<std::uint64_t>() > aMaximum) {
+    throw std::runtime_error("a number is missing or out of range");
+  }
+  return aValue.get<std::uint64_t>();
+}
+
+std::string
+Text(const Json& aValue, std::size_t aMaximum)
+{
+  if (!aValue.is_string() ||
+      aValue.get_ref<const std::string&>().size() > aMaximum) {
+    throw std::runtime_error("a text is missing or too long");
+  }
+  return aValue.get<std::string>();
+}
+
+ClaimEntry
+DecodeEntry(const Json& aValue)
+{
+  if (!aValue.is_array() || aValue.size() != kEntryFields) {
+    throw std::runtime_error("an entry has the wrong form");
+  }
+  ClaimEntry entry;
+  entry.key_ = Text(aValue[0], kDigestDigits);
+  entry.fingerprint_ = Text(aValue[1], kDigestDigits);
+  entry.run_ = Unsigned(aValue[2], UINT64_MAX);
+  entry.stage_ = static_cast<ClaimStage>(Unsigned(aValue[3], 2));
+  entry.age_ = std::chrono::milliseconds(Unsigned(aValue[4], kMaxMilliseconds));
+  entry.outcome_.status_ = static_cast<int>(Unsigned(aValue[5], 999));
+  entry.outcome_.contentType_ = Text(aValue[6], kMaxContentType);
+  entry.outcome_.bodyKept_ = aValue[7].is_binary();
+  if (aValue[7].is_binary()) {
+    const Json::binary_t& body = aValue[7].get_binary();
+    entry.outcome_.body_.assign(body.begin(), body.end());
+  }
+  if (entry.key_.empty() || entry.run_ == 0 ||
+      entry.outcome_.body_.size() > kMaxOutcomeBody) {
+    throw std::runtime_error("an entry has a field out of range");
+  }
+  return entry;
+}
+
+ClaimSegment
+DecodeMap(const Json& aMap)
+{
+  Unsigned(aMap.at("v"), kFormat);
+  ClaimSegment segment;
+  segment.epoch_ = Unsigned(aMap.at("e"), UINT64_MAX);
+  segment.sequence_ = Unsigned(aMap.at("s"), UINT64_MAX);
+  segment.attempt_ = Text(aMap.at("a"), 200);
+  segment.mapping_ = Unsigned(aMap.at("m"), UINT64_MAX);
+  segment.doubt_ =
+    std::chrono::milliseconds(Unsigned(aMap.at("d"), kMaxMilliseconds));
+  const Json& entries = aMap.at("c");
+  if (!entries.is_array()) {
+    throw std::runtime_error("the entries are not a list");
+  }
+  for (const Json& entry : entries) {
+    segment.entries_.push_back(DecodeEntry(entry));
+  }
+  return segment;
+}
+
+}
+
+std::string
+OnceKey(std::string_view aCustomer, std::string_view aIdempotencyKey)
+{
+  std::string joined(aCustomer);
+  joined.push_back('\0');
+  joined.append(aIdempotencyKey);
+  return Sha256Hex(joined).substr(0, kDigestDigits);
+}
+
+std::string
+OnceFingerprint(std::string_view aMethod,
+                std::string_view aTarget,
+                std::string_view aBody)
+{
+  std::string joined(aMethod);
+  joined.push_back('\0');
+  joined.append(aTarget);
+  joined.push_back('\0');
+  joined.append(Sha256Hex(aBody));
+  return Sha256Hex(joined).substr(0, kDigestDigits);
+}
+
+bool
+ClaimEntry::Supersedes(const ClaimEntry& aOther) const
+{
+  return std::tie(run_, stage_) > std::tie(aOther.run_, aOther.stage_);
+}
+
+std::size_t
+ClaimEntry::EncodedBound() const
+{
+  return key_.size() + fingerprint_.size() + outcome_.body_.size() +
+         outcome_.contentType_.size() + kEntryOverhead;
+}
+
+std::string
+ClaimSegment::Encode() const
+{
+  Json entries = Json::array();
+  for (const ClaimEntry& entry : entries_) {
+    entries.push_back(EncodeEntry(entry));
+  }
+  const Json map{ { "v", kFormat },           { "e", epoch_ },
+                  { "s", sequence_ },         { "a", attempt_ },
+                  { "m", mapping_ },          { "d", ToMilliseconds(doubt_) },
+                  { "c", std::move(entries) } };
+  std::string value;
+  Json::to_cbor(map, value);
+  return value;
+}
+
+std::optional<ClaimSegment>
+ClaimSegment::Decode(std::string_view aValue, std::string& aReason)
+{
+  try {
+    DepthCheck check;
+    if (!Json::sax_parse(aValue, &check, Json::input_format_t::cbor)) {
+      aReason = "not a complete CBOR value of bounded depth";
+      return std::nullopt;
+    }
+    return DecodeMap(Json::from_cbor(aValue));
+  } catch (const std::exception& e) {
+    aReason = e.what();
+    return std::nullopt;
+  }
+}
+
+std::string
+ClaimRecordPrefix(std::string_view aSlot)
+{
+  return "peridotsail/claims/" + std::string(aSlot) + "/";
+}
+
+std::string
+ClaimRecordKey(std::string_view aSlot,
+               std::uint64_t aEpoch,
+               std::uint64_t aSequence)
+{
+  return ClaimRecordPrefix(aSlot) + std::to_string(aEpoch) + "/" +
+         std::to_string(aSequence);
+}
+
+}
--- /dev/null
+++ b/src/once/SlotMap.cc
@@ -0,0 +1,103 @@
+#include "once/SlotMap.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotsail {
+
+namespace {
+
+std::string
+Choose(const std::vector<std::string>& aSlots, std::string_view aKey)
+{
+  const std::uint64_t seed = StableHash(aKey);
+  std::string best;
+  std::uint64_t bestWeight = 0;
+  for (const std::string& slot : aSlots) {
+    const std::uint64_t weight = StableHash(slot, seed);
+    if (best.empty() || weight > bestWeight) {
+      best = slot;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+}
+
+std::vector<std::string>
+SlotNames(const Configuration& aConfiguration)
+{
+  std::vector<std::string> names;
+  for (const RegionConfig& region : aConfiguration.regions_) {
+    for (int i = 0; i < region.slots_; ++i) {
+      names.push_back(region.name_ + "/" + std::to_string(i));
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+SlotMap::SlotMap(Duration aRemember)
+  : remember_(aRemember)
+{
+}
+
+void
+SlotMap::Adopt(std::vector<std::string> aSlots, TimePoint aNow)
+{
+  std::sort(aSlots.begin(), aSlots.end());
+  if (aSlots == slots_) {
+    return;
+  }
+  if (!slots_.empty()) {
+    earlier_.push_back({ std::move(slots_), aNow });
+  }
+  slots_ = std::move(aSlots);
+  while (!earlier_.empty() && earlier_.front().endedAt_ + remember_ <= aNow) {
+    earlier_.pop_front();
+  }
+}
+
+void
+SlotMap::SetHolders(std::map<std::string, SlotHolderHost> aHolders)
+{
+  holders_ = std::move(aHolders);
+}
+
+std::string
+SlotMap::SlotOf(std::string_view aKey) const
+{
+  return Choose(slots_, aKey);
+}
+
+OnceRoute
+SlotMap::RouteOf(std::string_view aKey, TimePoint aNow) const
+{
+  OnceRoute route;
+  route.slot_ = SlotOf(aKey);
+  const auto holder = holders_.find(route.slot_);
+  if (holder != holders_.end()) {
+    route.holder_ = holder->second;
+  }
+  route.moved_ =
+    std::any_of(earlier_.begin(), earlier_.end(), [&](const Mapping& aMapping) {
+      return aNow < aMapping.endedAt_ + remember_ &&
+             Choose(aMapping.slots_, aKey) != route.slot_;
+    });
+  return route;
+}
+
+std::uint64_t
+SlotMap::Signature() const
+{
+  std::uint64_t signature = 0;
+  for (const std::string& slot : slots_) {
+    signature = StableHash(slot, signature + 1);
+  }
+  return signature;
+}
+
+}
--- /dev/null
+++ b/src/once/testing/SlotMapTest.cc
@@ -0,0 +1,42 @@
+#include "once/SlotMap.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace peridotsail;
+using std::chrono::seconds;
+
+// Guards against a second run by the new holder of a moved key, and against a
+// change of the slots that moves keys between slots that stay.
+TEST_CASE("a changed number of slots moves few keys and marks them as moved")
+{
+  const TimePoint start{ seconds(100) };
+  SlotMap map;
+  map.Adopt({ "north/0", "north/1", "south/0" }, start);
+  std::map<std::string, int> counts;
+  std::map<std::string, std::string> before;
+  for (int i = 0; i < 3000; ++i) {
+    const std::string key = std::to_string(i);
+    before[key] = map.SlotOf(key);
+    ++counts[before[key]];
+    CHECK_FALSE(map.RouteOf(key, start).moved_);
+  }
+  for (const auto& [slot, count] : counts) {
+    CHECK(count > 800);
+  }
+  const std::uint64_t signature = map.Signature();
+  map.Adopt({ "south/0", "north/1", "north/0", "south/1" }, start);
+  CHECK(map.Signature() != signature);
+  map.SetHolders({ { "south/1", { "h4", "127.0.0.1:9" } } });
+  int moved = 0;
+  for (const auto& [key, slot] : before) {
+    const OnceRoute route = map.RouteOf(key, start + seconds(610));
+    CHECK(route.moved_ == (route.slot_ != slot));
+    CHECK((route.slot_ == slot || route.slot_ == "south/1"));
+    CHECK(route.holder_.host_ == (route.slot_ == "south/1" ? "h4" : ""));
+    CHECK_FALSE(map.RouteOf(key, start + seconds(615)).moved_);
+    moved += route.moved_ ? 1 : 0;
+  }
+  CHECK(moved > 600);
+  CHECK(moved < 900);
+}
