Add deltas, the tracker and the commit of configurations

Whole documents cost 100 KB a change at the target size, and two operators who write at once could each believe that their change is in force.

ConfigurationDelta is an RFC 7396 merge patch of the document keyed by section and item identity, in CBOR, with the hashes of base and result.

--- /dev/null
+++ b/src/config/ConfigurationTracker.cc
@@ -0,0 +1,383 @@
+#include "config/ConfigurationTracker.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotsail {
+
+namespace {
+
+// Orders names by rendezvous weight for the given purpose, the highest first.
+void
+SortByWeight(std::vector<std::string>& aNames, std::uint64_t aSeed)
+{
+  std::sort(aNames.begin(),
+            aNames.end(),
+            [aSeed](const std::string& aLeft, const std::string& aRight) {
+              return std::make_pair(StableHash(aLeft, aSeed), aLeft) >
+                     std::make_pair(StableHash(aRight, aSeed), aRight);
+            });
+}
+
+}
+
+std::vector<std::string>
+ChooseWatchers(const std::vector<TrackerHost>& aHosts,
+               std::string_view aRegion,
+               std::size_t aCount)
+{
+  std::vector<std::string> names;
+  for (const TrackerHost& host : aHosts) {
+    if (host.region_ == aRegion) {
+      names.push_back(host.name_);
+    }
+  }
+  SortByWeight(names, StableHash("configuration watcher"));
+  names.resize(std::min(names.size(), aCount));
+  return names;
+}
+
+ConfigurationTracker::ConfigurationTracker(std::string aHost,
+                                           std::string aRegion,
+                                           TrackerOptions aOptions)
+  : host_(std::move(aHost))
+  , region_(std::move(aRegion))
+  , options_(aOptions)
+{
+}
+
+TrackerIntent&
+ConfigurationTracker::Emit(Kind aKind)
+{
+  intents_.emplace_back();
+  intents_.back().kind_ = aKind;
+  return intents_.back();
+}
+
+std::vector<TrackerIntent>
+ConfigurationTracker::TakeIntents()
+{
+  return std::exchange(intents_, {});
+}
+
+void
+ConfigurationTracker::SetHosts(TimePoint aNow, std::vector<TrackerHost> aHosts)
+{
+  hosts_ = std::move(aHosts);
+  const std::vector<std::string> chosen =
+    ChooseWatchers(hosts_, region_, options_.watchersPerRegion_);
+  watcher_ = std::find(chosen.begin(), chosen.end(), host_) != chosen.end();
+  ManageWatch(aNow);
+}
+
+void
+ConfigurationTracker::ManageWatch(TimePoint aNow)
+{
+  if (watcher_ && !watchStartedAt_ && aNow >= watchNotBefore_) {
+    watchStartedAt_ = aNow;
+    Emit(Kind::StartWatch);
+  } else if (!watcher_ && watchStartedAt_) {
+    watchStartedAt_.reset();
+    Emit(Kind::StopWatch);
+  }
+}
+
+void
+ConfigurationTracker::OnWatchEnded(TimePoint aNow)
+{
+  watchStartedAt_.reset();
+  watchNotBefore_ = aNow + options_.watchRestart_;
+}
+
+void
+ConfigurationTracker::OnWatchEvent(std::string_view aRecord)
+{
+  const std::optional<ConfigurationRecord> record = ParseRecord(aRecord);
+  if (!record) {
+    Refuse("store", "the value is not a configuration record");
+    return;
+  }
+  ConsiderRecord(*record, "store");
+}
+
+ReadOutcome
+ConfigurationTracker::OnReadResult(TimePoint aNow,
+                                   std::uint64_t aReadId,
+                                   const std::optional<std::string>& aRecord)
+{
+  ReadOutcome outcome;
+  if (aReadId == lastReadId_ && readSentAt_) {
+    outcome.sentAt_ = readSentAt_;
+    readSentAt_.reset();
+    SetStoreReachable(true);
+  }
+  if (!aRecord) {
+    return outcome;
+  }
+  const std::optional<ConfigurationRecord> record = ParseRecord(*aRecord);
+  if (!record) {
+    Refuse("store", "the value is not a configuration record");
+    return outcome;
+  }
+  const SnapshotPtr before = inForce_;
+  ConsiderRecord(*record, "store");
+  if (inForce_ != before) {
+    RestartSilentWatch(aNow);
+  }
+  outcome.matchesInForce_ =
+    inForce_ != nullptr && inForce_->version_ == record->version_;
+  return outcome;
+}
+
+// A read that finds a version which a long running watch did not report shows
+// that the watch is silent.
+void
+ConfigurationTracker::RestartSilentWatch(TimePoint aNow)
+{
+  if (watchStartedAt_ && aNow - *watchStartedAt_ > options_.readInterval_) {
+    Emit(Kind::StopWatch);
+    Emit(Kind::StartWatch);
+    watchStartedAt_ = aNow;
+  }
+}
+
+void
+ConfigurationTracker::OnReadFailed(TimePoint aNow, std::uint64_t aReadId)
+{
+  if (aReadId == lastReadId_ && readSentAt_) {
+    nextRead_ = std::max(nextRead_, aNow + options_.readTimeout_);
+    readSentAt_.reset();
+    SetStoreReachable(false);
+  }
+}
+
+void
+ConfigurationTracker::SetStoreReachable(bool aReachable)
+{
+  if (storeReachable_ != aReachable) {
+    storeReachable_ = aReachable;
+    // Peers need this at once to tell a store outage from isolation.
+    HastenGossip();
+  }
+}
+
+void
+ConfigurationTracker::OnCommitted(const ConfigurationRecord& aRecord)
+{
+  ConsiderRecord(aRecord, "commit");
+}
+
+void
+ConfigurationTracker::ConsiderRecord(const ConfigurationRecord& aRecord,
+                                     const std::string& aSource)
+{
+  // Checked before the document is parsed, since most reads bring the version
+  // in force again.
+  if (!IsNewer(aRecord.version_, aSource)) {
+    return;
+  }
+  std::vector<ConfigurationFault> faults;
+  const SnapshotPtr candidate =
+    MakeSnapshot(aRecord.version_, aRecord.document_, faults);
+  if (!candidate) {
+    Refuse(aSource, DescribeFaults(faults));
+    return;
+  }
+  Consider(candidate, aSource);
+}
+
+// Invariant 10: every change of the version in force passes this comparison.
+bool
+ConfigurationTracker::IsNewer(std::int64_t aVersion, const std::string& aSource)
+{
+  if (!inForce_ || aVersion > inForce_->version_) {
+    return true;
+  }
+  if (aVersion < inForce_->version_) {
+    TrackerIntent& intent = Emit(Kind::OlderIgnored);
+    intent.version_ = aVersion;
+    intent.source_ = aSource;
+  }
+  return false;
+}
+
+void
+ConfigurationTracker::Consider(const SnapshotPtr& aCandidate,
+                               const std::string& aSource)
+{
+  if (!IsNewer(aCandidate->version_, aSource)) {
+    return;
+  }
+  if (inForce_) {
+    former_.push_front(inForce_);
+    former_.resize(std::min(former_.size(), options_.keptVersions_));
+  }
+  inForce_ = aCandidate;
+  encoded_.clear();
+  requestSentAt_.reset();
+  TrackerIntent& intent = Emit(Kind::Adopted);
+  intent.snapshot_ = inForce_;
+  intent.version_ = inForce_->version_;
+  intent.hash_ = inForce_->hash_;
+  intent.source_ = aSource;
+  // Hosts without a watch learn of the version without waiting for the tick.
+  HastenGossip();
+}
+
+void
+ConfigurationTracker::Refuse(const std::string& aSource, std::string aReason)
+{
+  TrackerIntent& intent = Emit(Kind::Refused);
+  intent.source_ = aSource;
+  intent.bytes_ = std::move(aReason);
+}
+
+void
+ConfigurationTracker::OnGossip(TimePoint aNow,
+                               const std::string& aPeer,
+                               std::int64_t aVersion,
+                               const std::string& aHash)
+{
+  const std::int64_t mine = inForce_ ? inForce_->version_ : 0;
+  if (aVersion > mine) {
+    Request(aNow, aPeer, false);
+  } else if (aVersion == mine && mine > 0 && aHash != inForce_->hash_) {
+    Refuse(aPeer, "the peer has another document under the same version");
+  }
+}
+
+// One request is outstanding at a time; a peer that does not answer it delays
+// the next one by the timeout only.
+void
+ConfigurationTracker::Request(TimePoint aNow,
+                              const std::string& aPeer,
+                              bool aWhole)
+{
+  if (requestSentAt_ && aNow - *requestSentAt_ < options_.requestTimeout_) {
+    return;
+  }
+  requestSentAt_ = aNow;
+  TrackerIntent& intent = Emit(Kind::SendRequest);
+  intent.peer_ = aPeer;
+  intent.version_ = inForce_ ? inForce_->version_ : 0;
+  intent.hash_ = inForce_ ? inForce_->hash_ : "";
+  intent.whole_ = aWhole;
+}
+
+void
+ConfigurationTracker::OnRequest(const std::string& aPeer,
+                                std::int64_t aVersion,
+                                const std::string& aHash,
+                                bool aWhole)
+{
+  if (!inForce_ || aVersion >= inForce_->version_) {
+    return;
+  }
+  TrackerIntent& intent = Emit(Kind::SendDelta);
+  intent.peer_ = aPeer;
+  intent.version_ = inForce_->version_;
+  intent.whole_ = aWhole;
+  intent.bytes_ = aWhole ? DeltaFor(0, "") : DeltaFor(aVersion, aHash);
+}
+
+const std::string&
+ConfigurationTracker::DeltaFor(std::int64_t aVersion, const std::string& aHash)
+{
+  const auto base = std::find_if(
+    former_.begin(), former_.end(), [&](const SnapshotPtr& aFormer) {
+      return aFormer->version_ == aVersion && aFormer->hash_ == aHash;
+    });
+  const bool known = base != former_.end();
+  std::string& bytes = encoded_[known ? aVersion : 0];
+  if (bytes.empty()) {
+    bytes = EncodeDelta(known ? base->get() : nullptr, *inForce_);
+  }
+  return bytes;
+}
+
+void
+ConfigurationTracker::OnDelta(TimePoint aNow,
+                              const std::string& aPeer,
+                              std::string_view aBytes)
+{
+  const DeltaOutcome outcome = ApplyDelta(inForce_.get(), aBytes);
+  switch (outcome.result_) {
+    case DeltaResult::Applied:
+      Consider(outcome.snapshot_, aPeer);
+      return;
+    case DeltaResult::Malformed:
+      Refuse(aPeer, "the delta is malformed");
+      return;
+    case DeltaResult::Refused:
+      Refuse(aPeer, outcome.detail_);
+      return;
+    case DeltaResult::WrongBase:
+    case DeltaResult::WrongHash:
+      break;
+  }
+  const std::int64_t mine = inForce_ ? inForce_->version_ : 0;
+  if (outcome.version_ <= mine) {
+    return;
+  }
+  if (outcome.baseVersion_ == 0) {
+    // A second request would get the same whole document.
+    Refuse(aPeer, "the whole document does not have its stated hash");
+    return;
+  }
+  requestSentAt_.reset();
+  Request(aNow, aPeer, true);
+}
+
+void
+ConfigurationTracker::ManageRead(TimePoint aNow)
+{
+  if (readSentAt_ && aNow - *readSentAt_ >= options_.readTimeout_) {
+    readSentAt_.reset();
+    SetStoreReachable(false);
+  }
+  const bool wanted = watcher_ || readingWanted_ || !inForce_;
+  if (!wanted || readSentAt_ || aNow < nextRead_) {
+    return;
+  }
+  readSentAt_ = aNow;
+  nextRead_ = aNow + options_.readInterval_;
+  Emit(Kind::ReadStore).readId_ = ++lastReadId_;
+}
+
+std::vector<std::string>
+ConfigurationTracker::GossipTargets() const
+{
+  std::vector<std::string> names;
+  for (const TrackerHost& host : hosts_) {
+    if (host.name_ != host_) {
+      names.push_back(host.name_);
+    }
+  }
+  if (names.size() > options_.gossipFanout_) {
+    SortByWeight(names, StableHash(host_, gossipRound_));
+    names.resize(options_.gossipFanout_);
+  }
+  return names;
+}
+
+void
+ConfigurationTracker::OnTimer(TimePoint aNow)
+{
+  ManageWatch(aNow);
+  ManageRead(aNow);
+  if (aNow < nextGossip_) {
+    return;
+  }
+  nextGossip_ = aNow + options_.gossipInterval_;
+  ++gossipRound_;
+  for (const std::string& peer : GossipTargets()) {
+    TrackerIntent& intent = Emit(Kind::SendGossip);
+    intent.peer_ = peer;
+    intent.version_ = inForce_ ? inForce_->version_ : 0;
+    intent.hash_ = inForce_ ? inForce_->hash_ : "";
+  }
+}
+
+}
--- /dev/null
+++ b/src/config/KeyedDocument.cc
@@ -0,0 +1,135 @@
+#include "config/KeyedDocument.h"
+
+namespace peridotsail::detail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A delta nests its fields five levels deep; the rest is reserve.
+constexpr int kMaxDepth = 16;
+
+std::string
+TextField(const Json& aItem, const char* aField)
+{
+  const auto found = aItem.find(aField);
+  return found != aItem.end() && found->is_string() ? found->get<std::string>()
+                                                    : std::string();
+}
+
+std::string
+IdentityOf(const std::string& aSection, const Json& aItem)
+{
+  if (aSection == "keys") {
+    return TextField(aItem, "id");
+  }
+  // Names contain no spaces, so the joined identities are unambiguous.
+  if (aSection == "shift_caps") {
+    return TextField(aItem, "from") + " " + TextField(aItem, "to");
+  }
+  if (aSection == "drains") {
+    return TextField(aItem, "kind") + " " + TextField(aItem, "name");
+  }
+  return TextField(aItem, "name");
+}
+
+// Stops the library's reader at the depth limit.
+class DepthCheck : public nlohmann::json_sax<Json>
+{
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= kMaxDepth; }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return --depth_ >= 0; }
+  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
+  bool end_array() override { return --depth_ >= 0; }
+  bool parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override
+  {
+    return false;
+  }
+
+private:
+  int depth_ = 0;
+};
+
+}
+
+Json
+ToKeyed(const Json& aDocument)
+{
+  Json keyed = Json::object();
+  for (const auto& [name, section] : aDocument.items()) {
+    if (!section.is_array()) {
+      keyed[name] = section;
+      continue;
+    }
+    Json items = Json::object();
+    for (const Json& item : section) {
+      items[IdentityOf(name, item)] = item;
+    }
+    if (!items.empty()) {
+      keyed[name] = std::move(items);
+    }
+  }
+  return keyed;
+}
+
+std::optional<Json>
+FromKeyed(const Json& aKeyed)
+{
+  if (!aKeyed.is_object()) {
+    return std::nullopt;
+  }
+  Json document = Json::object();
+  for (const auto& [name, section] : aKeyed.items()) {
+    if (section.is_number_integer()) {
+      document[name] = section;
+      continue;
+    }
+    if (!section.is_object()) {
+      return std::nullopt;
+    }
+    Json items = Json::array();
+    for (const auto& [identity, item] : section.items()) {
+      if (!item.is_object() || IdentityOf(name, item) != identity) {
+        return std::nullopt;
+      }
+      items.push_back(item);
+    }
+    if (!items.empty()) {
+      document[name] = std::move(items);
+    }
+  }
+  return document;
+}
+
+std::string
+CanonicalText(const Json& aDocument)
+{
+  return aDocument.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<Json>
+DecodeBoundedCbor(std::string_view aBytes)
+{
+  DepthCheck check;
+  if (!Json::sax_parse(
+        aBytes.begin(), aBytes.end(), &check, Json::input_format_t::cbor)) {
+    return std::nullopt;
+  }
+  Json value = Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+  if (value.is_discarded()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}
