--- /dev/null
+++ b/src/keys/ConfigurationNode.cc
@@ -0,0 +1,253 @@
+#include "keys/ConfigurationNode.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotsail {
+
+ConfigurationNode::ConfigurationNode(std::string aHost,
+                                     std::string aRegion,
+                                     std::uint64_t aFirstSequence,
+                                     NodeOptions aOptions)
+  : host_(aHost)
+  , options_(aOptions)
+  , tracker_(std::move(aHost), std::move(aRegion), aOptions.tracker_)
+  , freshness_(aFirstSequence, aOptions.freshness_)
+{
+}
+
+void
+ConfigurationNode::SetHosts(TimePoint aNow,
+                            const std::vector<TrackerHost>& aHosts)
+{
+  peers_.clear();
+  for (const TrackerHost& host : aHosts) {
+    if (host.name_ != host_) {
+      peers_.push_back(host.name_);
+    }
+  }
+  freshness_.SetPeers(peers_);
+  tracker_.SetHosts(aNow, aHosts);
+}
+
+void
+ConfigurationNode::OnWatchEvent(std::string_view aRecord)
+{
+  tracker_.OnWatchEvent(aRecord);
+}
+
+void
+ConfigurationNode::OnWatchEnded(TimePoint aNow)
+{
+  tracker_.OnWatchEnded(aNow);
+}
+
+void
+ConfigurationNode::OnReadResult(TimePoint aNow,
+                                std::uint64_t aReadId,
+                                const std::optional<std::string>& aRecord)
+{
+  const ReadOutcome outcome = tracker_.OnReadResult(aNow, aReadId, aRecord);
+  if (outcome.sentAt_) {
+    freshness_.SetStoreReachable(true);
+    if (outcome.matchesInForce_) {
+      freshness_.OnStoreConfirmed(aNow, *outcome.sentAt_);
+    }
+  }
+}
+
+void
+ConfigurationNode::OnReadFailed(TimePoint aNow, std::uint64_t aReadId)
+{
+  tracker_.OnReadFailed(aNow, aReadId);
+}
+
+void
+ConfigurationNode::OnCommitted(const ConfigurationRecord& aRecord)
+{
+  tracker_.OnCommitted(aRecord);
+}
+
+void
+ConfigurationNode::OnGossip(TimePoint aNow,
+                            const std::string& aPeer,
+                            const GossipMessage& aMessage)
+{
+  reports_[aPeer] = { aMessage.version_, aMessage.hash_, aNow };
+  tracker_.OnGossip(aNow, aPeer, aMessage.version_, aMessage.hash_);
+  const SnapshotPtr& mine = tracker_.InForce();
+  const bool sameKeys = aMessage.withdrawnDigest_ == withdrawn_.Digest();
+  const bool sameState = mine != nullptr && sameKeys &&
+                         mine->version_ == aMessage.version_ &&
+                         mine->hash_ == aMessage.hash_;
+  freshness_.OnGossip(
+    aPeer, aNow, aMessage.stamp_, sameState, aMessage.storeReachable_);
+  if (!sameKeys && !withdrawn_.IsEmpty()) {
+    NodeIntent intent;
+    intent.kind_ = NodeIntent::Kind::SendWithdrawn;
+    intent.peer_ = aPeer;
+    intent.withdrawn_ = withdrawn_.List();
+    intents_.push_back(std::move(intent));
+  }
+}
+
+void
+ConfigurationNode::OnRequest(const std::string& aPeer,
+                             std::int64_t aVersion,
+                             const std::string& aHash,
+                             bool aWhole)
+{
+  tracker_.OnRequest(aPeer, aVersion, aHash, aWhole);
+}
+
+void
+ConfigurationNode::OnDelta(TimePoint aNow,
+                           const std::string& aPeer,
+                           std::string_view aBytes)
+{
+  tracker_.OnDelta(aNow, aPeer, aBytes);
+}
+
+void
+ConfigurationNode::OnWithdrawnKeys(const std::vector<WithdrawnKey>& aKeys)
+{
+  if (!withdrawn_.Merge(aKeys)) {
+    return;
+  }
+  if (tracker_.InForce()) {
+    withdrawn_.Prune(*tracker_.InForce()->configuration_);
+  }
+  // The sender and the others see by the digest that the set has arrived.
+  tracker_.HastenGossip();
+}
+
+bool
+ConfigurationNode::WithdrawDuringOutage(TimePoint aNow, const std::string& aId)
+{
+  const SnapshotPtr& mine = tracker_.InForce();
+  if (!mine || aNow >= FreshUntil()) {
+    return false;
+  }
+  const std::vector<KeyConfig>& keys = mine->configuration_->keys_;
+  const bool exists =
+    std::any_of(keys.begin(), keys.end(), [&](const KeyConfig& aKey) {
+      return aKey.id_ == aId;
+    });
+  if (!exists || !withdrawn_.Add({ aId, mine->version_ })) {
+    return false;
+  }
+  withdrawnAt_.insert({ aId, aNow });
+  withdrawn_.Prune(*mine->configuration_);
+  for (const std::string& peer : tracker_.GossipTargets()) {
+    NodeIntent intent;
+    intent.kind_ = NodeIntent::Kind::SendWithdrawn;
+    intent.peer_ = peer;
+    intent.withdrawn_ = withdrawn_.List();
+    intents_.push_back(std::move(intent));
+  }
+  tracker_.HastenGossip();
+  return true;
+}
+
+bool
+ConfigurationNode::IsDisseminated(const std::string& aId) const
+{
+  const auto since = withdrawnAt_.find(aId);
+  if (since == withdrawnAt_.end()) {
+    return false;
+  }
+  // A peer in the same state at a later time has the id, or both have a
+  // configuration that covers it.
+  return !withdrawn_.Has(aId) ||
+         freshness_.PeersInSameState(since->second) >= freshness_.PeersNeeded();
+}
+
+void
+ConfigurationNode::OnTimer(TimePoint aNow)
+{
+  const std::optional<TimePoint> confirmed = freshness_.ConfirmedAt();
+  const bool stale = !confirmed || aNow - *confirmed >= options_.ownReadAge_;
+  tracker_.SetReadingWanted(stale || freshness_.PeerReportsOutage(aNow));
+  tracker_.OnTimer(aNow);
+  if (tracker_.StoreReachable()) {
+    freshness_.SetStoreReachable(*tracker_.StoreReachable());
+  }
+  ScheduleCommit(aNow);
+}
+
+// Hosts that reach the store commit keys withdrawn in an outage. Attempts are
+// staggered in rendezvous order so that usually one host writes; racing writes
+// are harmless because of the compare-and-swap.
+void
+ConfigurationNode::ScheduleCommit(TimePoint aNow)
+{
+  if (withdrawn_.IsEmpty() || tracker_.StoreReachable() != true) {
+    nextCommit_.reset();
+    return;
+  }
+  if (!nextCommit_) {
+    const std::string purpose = withdrawn_.Digest();
+    const std::uint64_t seed = StableHash(purpose);
+    const auto rank =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& aPeer) {
+        return StableHash(aPeer, seed) > StableHash(host_, seed);
+      });
+    nextCommit_ = aNow + rank * options_.commitStagger_;
+  }
+  if (aNow < *nextCommit_) {
+    return;
+  }
+  nextCommit_ = aNow + options_.commitInterval_;
+  intents_.emplace_back();
+  intents_.back().kind_ = NodeIntent::Kind::CommitWithdrawals;
+  intents_.back().withdrawn_ = withdrawn_.List();
+}
+
+std::vector<NodeIntent>
+ConfigurationNode::TakeIntents(TimePoint aNow)
+{
+  for (TrackerIntent& step : tracker_.TakeIntents()) {
+    if (step.kind_ == TrackerIntent::Kind::Adopted) {
+      withdrawn_.Prune(*step.snapshot_->configuration_);
+    }
+    NodeIntent intent;
+    intent.peer_ = step.peer_;
+    if (step.kind_ == TrackerIntent::Kind::SendGossip) {
+      intent.kind_ = NodeIntent::Kind::SendGossip;
+      intent.gossip_.version_ = step.version_;
+      intent.gossip_.hash_ = step.hash_;
+      intent.gossip_.storeReachable_ = tracker_.StoreReachable();
+      intent.gossip_.withdrawnDigest_ = withdrawn_.Digest();
+      intent.gossip_.stamp_ = freshness_.Stamp(step.peer_, aNow);
+    } else {
+      intent.tracker_ = std::move(step);
+    }
+    intents_.push_back(std::move(intent));
+  }
+  return std::exchange(intents_, {});
+}
+
+std::vector<HostVersion>
+ConfigurationNode::HostVersions(TimePoint aNow) const
+{
+  std::vector<HostVersion> rows;
+  for (const std::string& peer : peers_) {
+    HostVersion row;
+    row.host_ = peer;
+    const auto report = reports_.find(peer);
+    if (report != reports_.end()) {
+      const SnapshotPtr& mine = tracker_.InForce();
+      row.version_ = report->second.version_;
+      row.confirmed_ =
+        mine != nullptr && mine->version_ == report->second.version_ &&
+        mine->hash_ == report->second.hash_ &&
+        aNow - report->second.receivedAt_ < options_.freshness_.limit_;
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+}
--- /dev/null
+++ b/src/keys/testing/FleetSimulation.h
@@ -0,0 +1,141 @@
+#pragma once
+
+// Seven hosts in three regions with fakes of the store and the network, on
+// simulated time. Each fault and each delay comes from one seeded generator.
+//
+//   FleetSimulation fleet(seed);
+//   fleet.Run(60s, [&] { CheckProperties(fleet); });
+
+#include "base/BootClock.h"
+#include "config/ConfigurationChange.h"
+#include "keys/ConfigurationNode.h"
+#include "keys/KeyTable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotsail::testing {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kHosts = 7;
+
+struct FakeStore
+{
+  StoredConfiguration current_;
+  std::optional<std::string> previous_;
+  std::map<std::int64_t, std::string> history_;
+  std::int64_t version_ = 0;
+  bool out_ = false;
+  bool slow_ = false;
+  // Reads and watches sometimes give the value before the current one.
+  bool old_ = false;
+  TimePoint upSince_{};
+};
+
+struct FakeHost
+{
+  std::string name_;
+  std::unique_ptr<ConfigurationNode> node_;
+  KeyTable table_;
+  int incarnation_ = 0;
+  bool paused_ = false;
+  // Not 0: cut off from the store and from hosts with another number.
+  int partition_ = 0;
+  bool storeCut_ = false;
+  bool watching_ = false;
+  bool watchDead_ = false;
+  // What arrived while the host was paused.
+  std::vector<std::function<void()>> buffer_;
+  // Connected means neither paused nor in another partition.
+  TimePoint connectedSince_{};
+  // The version in force at each step of the simulation.
+  std::map<TimePoint, std::int64_t> versions_;
+};
+
+class FleetSimulation
+{
+public:
+  explicit FleetSimulation(unsigned aSeed);
+
+  // Calls aStep after each 100 ms of simulated time.
+  void Run(Duration aTime, const std::function<void()>& aStep);
+
+  TimePoint Now() const { return now_; }
+  std::mt19937& Random() { return random_; }
+  FakeStore& Store() { return store_; }
+  FakeHost& Host(std::size_t aIndex) { return hosts_[aIndex]; }
+  bool IsConnected(const FakeHost& aHost) const;
+  // The host serves a request with the key k<aKey>.
+  bool Accepts(const FakeHost& aHost, int aKey) const;
+  bool IsFresh(const FakeHost& aHost) const;
+
+  void Pause(std::size_t aHost);
+  // Runs what arrived during the pause.
+  void Resume(std::size_t aHost);
+  void Restart(std::size_t aHost);
+  void SetPartition(std::size_t aHost, int aPartition);
+  void SetStoreOut(bool aOut);
+  void KillWatches();
+  // A random fault that ends by itself.
+  void RandomFault();
+
+  // Commits a document through a host, with lost answers in one of eight
+  // writes. aDone gets the outcome unless the host restarts.
+  using ChangeDone = std::function<void(const ChangeOutcome&)>;
+  void Commit(std::size_t aHost, ChangeRequest aRequest, ChangeDone aDone);
+  std::string StoredDocument() const;
+
+  std::size_t sentDeltas_ = 0;
+  std::size_t sentWholes_ = 0;
+
+private:
+  struct Event
+  {
+    TimePoint at_;
+    std::uint64_t number_;
+    std::function<void()> run_;
+    bool operator<(const Event& aOther) const
+    {
+      return std::make_pair(at_, number_) >
+             std::make_pair(aOther.at_, aOther.number_);
+    }
+  };
+  struct Running;
+
+  void After(Duration aDelay, std::function<void()> aRun);
+  // Runs at the host after the delay, when it is not paused and was not
+  // restarted.
+  void Deliver(Duration aDelay, std::size_t aHost, std::function<void()> aRun);
+  Duration Between(Duration aLow, Duration aHigh);
+  bool OneIn(unsigned aCount) { return random_() % aCount == 0; }
+  Duration StoreDelay();
+  bool ReachesStore(std::size_t aHost) const;
+  void Publish(std::size_t aHost);
+  void CarryIntents(std::size_t aHost);
+  void CarryTracker(std::size_t aHost, const TrackerIntent& aIntent);
+  void Send(std::size_t aFrom,
+            const std::string& aTo,
+            std::function<void(ConfigurationNode&)> aReceive);
+  void ReadStore(std::size_t aHost, std::uint64_t aReadId);
+  void CommitWithdrawals(std::size_t aHost,
+                         const std::vector<WithdrawnKey>& aKeys);
+  bool ApplyWrite(const ConfigurationWrite& aWrite);
+  void StepChange(const std::shared_ptr<Running>& aRunning);
+  void ReportConnection(FakeHost& aHost, bool aWasConnected);
+
+  std::mt19937 random_;
+  TimePoint now_{ 1000s };
+  std::uint64_t lastEvent_ = 0;
+  std::priority_queue<Event> events_;
+  FakeStore store_;
+  std::vector<FakeHost> hosts_;
+};
+
+}
