Wire configurations and keys into the entry host

Cause: hosts polled the store for the configuration and checked keys against it without knowing whether it was current. Change: ConfigurationAgent carries out the decisions of ConfigurationNode on the platform thread, with gossip through the peer links; the traffic thread checks each request with KeyTable and refuses keyed routes with host-isolated when the configuration is not confirmed. Operators' paths /config and the command `peridotsail config`. The record of the store moves from the app to the config slice with its test; the end-to-end tests wait for keys_fresh.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -1,5 +1,7 @@
 #include "app/EntryHost.h"
 
+#include "app/ConfigurationAgent.h"
+#include "app/ConfigurationApi.h"
 #include "app/HostDirectory.h"
 #include "app/OperatorServer.h"
 #include "app/PlatformReader.h"
@@ -13,6 +15,7 @@
 #include "proxy/CallerServer.h"
 #include "proxy/RequestPipeline.h"
 
+#include <atomic>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
@@ -45,6 +48,28 @@
   return self;
 }
 
+// The hosts that take part in the dissemination of configurations.
+std::vector<TrackerHost>
+LiveHosts(const std::vector<ListedHost>& aHosts)
+{
+  std::vector<TrackerHost> live;
+  for (const ListedHost& host : aHosts) {
+    if (!host.leaving_) {
+      live.push_back({ host.name_, host.region_ });
+    }
+  }
+  return live;
+}
+
+bool
+IsForAgent(PeerMessageType aType)
+{
+  return aType == PeerMessageType::Gossip ||
+         aType == PeerMessageType::ConfigurationRequest ||
+         aType == PeerMessageType::ConfigurationDelta ||
+         aType == PeerMessageType::WithdrawnKeys;
+}
+
 }
 
 struct EntryHost::Impl
@@ -59,10 +84,12 @@
   PeerHooks MakePeerHooks();
   RelayHooks MakeRelayHooks();
   PlatformReaderHooks MakePlatformHooks();
+  ConfigurationAgentHooks MakeAgentHooks();
   CallerServerOptions MakeCallerOptions() const;
   void AddOperatorPaths();
   nlohmann::json Status() const;
   void OnPeerMessage(const PeerHello& aFrom, const PeerMessage& aMessage);
+  void PostToAgent(const PeerHello& aFrom, PeerMessage aMessage);
   void PostToTraffic(DutyThread::Task aTask);
   void StopThreads();
 
@@ -78,6 +105,7 @@
   std::string incarnation_;
   Metrics metrics_;
   Snapshot<Configuration> configuration_;
+  std::atomic<TimePoint> freshUntil_{ TimePoint::min() };
 
   DutyThread traffic_;
   DutyThread peer_;
@@ -93,7 +121,9 @@
   RequestPipeline pipeline_;
   CallerServer callers_;
   PlatformReader platformReader_;
+  ConfigurationAgent agent_;
   OperatorServer operatorServer_;
+  ConfigurationApi configurationApi_;
 
   // The main thread's own loop: signals and the shutdown.
   boost::asio::io_context main_;
@@ -125,14 +155,21 @@
   , platformReader_(platform_.Context(),
                     { settings_.store_, settings_.hostList_ },
                     MakePlatformHooks())
+  , agent_(platform_.Context(),
+           platformReader_.Store(),
+           settings_.hostName_,
+           settings_.region_,
+           MakeAgentHooks())
   , operatorServer_(operator_.Context(),
                     { settings_.operators_, settings_.operatorToken_ },
                     metrics_)
+  , configurationApi_(operator_, platform_, agent_, platformReader_.Store())
   , signals_(main_, SIGTERM, SIGINT)
   , drainTimer_(main_)
   , leavingTimer_(main_)
 {
   AddOperatorPaths();
+  configurationApi_.AddTo(operatorServer_);
 }
 
 EntryHost::Impl::~Impl()
@@ -158,6 +195,10 @@
 {
   PeerHooks hooks;
   hooks.onMessage_ = [this](const PeerHello& aFrom, PeerMessage aMessage) {
+    if (IsForAgent(aMessage.type_)) {
+      PostToAgent(aFrom, std::move(aMessage));
+      return;
+    }
     PostToTraffic([this, aFrom, message = std::move(aMessage)] {
       OnPeerMessage(aFrom, message);
     });
@@ -190,14 +231,8 @@
 EntryHost::Impl::MakePlatformHooks()
 {
   PlatformReaderHooks hooks;
-  hooks.onConfiguration_ = [this](ConfigurationPtr aConfiguration) {
-    configuration_.Set(aConfiguration);
-    metrics_
-      .Gauge("peridotsail_configuration_version",
-             "Configuration version in force on this host.")
-      .Set(static_cast<double>(aConfiguration->version_));
-  };
   hooks.onHosts_ = [this](std::vector<ListedHost> aHosts) {
+    agent_.SetHosts(LiveHosts(aHosts));
     PostToTraffic([this, hosts = std::move(aHosts)] {
       directory_.SetList(hosts);
       std::vector<PeerAddress> peers;
@@ -212,6 +247,28 @@
   return hooks;
 }
 
+ConfigurationAgentHooks
+EntryHost::Impl::MakeAgentHooks()
+{
+  ConfigurationAgentHooks hooks;
+  hooks.send_ = [this](const std::string& aHost, PeerMessage aMessage) {
+    return peerNode_.Send(aHost, std::move(aMessage));
+  };
+  hooks.onKeys_ = [this](KeyState aState) {
+    freshUntil_ = aState.freshUntil_;
+    return traffic_.Post(
+      [this, state = std::move(aState)] { hooks_.SetKeyState(state); });
+  };
+  hooks.onConfiguration_ = [this](const SnapshotPtr& aSnapshot) {
+    configuration_.Set(aSnapshot->configuration_);
+    metrics_
+      .Gauge("peridotsail_configuration_version",
+             "Configuration version in force on this host.")
+      .Set(static_cast<double>(aSnapshot->version_));
+  };
+  return hooks;
+}
+
 CallerServerOptions
 EntryHost::Impl::MakeCallerOptions() const
 {
@@ -239,6 +296,7 @@
            { "failure_domain", settings_.failureDomain_ },
            { "incarnation", incarnation_ },
            { "config_version", configuration ? configuration->version_ : 0 },
+           { "keys_fresh", BootClock::now() < freshUntil_.load() },
            { "peers", peerNode_.LinkedPeers() } };
 }
 
@@ -262,6 +320,18 @@
   }
 }
 
+void
+EntryHost::Impl::PostToAgent(const PeerHello& aFrom, PeerMessage aMessage)
+{
+  const bool posted =
+    platform_.Post([this, aFrom, message = std::move(aMessage)] {
+      agent_.OnPeerMessage(aFrom, message);
+    });
+  if (!posted) {
+    LogEvent(Event::RingFull, { { "thread", "platform" } });
+  }
+}
+
 void
 EntryHost::Impl::PostToTraffic(DutyThread::Task aTask)
 {
@@ -279,6 +349,7 @@
     return false;
   }
   platformReader_.Start();
+  agent_.Start();
   traffic_.Start();
   peer_.Start();
   platform_.Start();
--- a/src/app/Main.cc
+++ b/src/app/Main.cc
@@ -1,3 +1,4 @@
+#include "app/ConfigCommand.h"
 #include "app/EntryHost.h"
 #include "app/LookupCommand.h"
 #include "app/Settings.h"
@@ -24,6 +25,12 @@
 Usage:
   peridotsail serve [options]
   peridotsail lookup --host=<address> [--block=<block>] [--json]
+  peridotsail config validate <file> [--json]
+  peridotsail config (show | history | status) [options]
+  peridotsail config diff <file> [options]
+  peridotsail config apply <file> --expect=<version> [options]
+  peridotsail config keys issue <customer> [options]
+  peridotsail config keys withdraw <id> [options]
   peridotsail (-h | --help)
   peridotsail --version
 
@@ -33,6 +40,10 @@
   --host=<address>            IP address and port of an entry host.
   --block=<block>             Client block, such as 10.0.0.0/24.
   --json                      Print JSON.
+  --expect=<version>          Version that the change is based on.
+  --author=<name>             Name in the history of configurations.
+
+The commands of config take --operators and --operator-token.
 
 Each option of serve is also an environment variable: PERIDOTSAIL_ and the
 flag's name in upper case with underscores.
@@ -53,7 +64,8 @@
   --lookup-ttl=<seconds>      Life of a look-up's answer, 5 by default.
   --drain-limit=<seconds>     Wait for requests in flight, 60 by default.
 
-Exit codes: 0 success, 1 failure, 2 wrong arguments or settings.
+Exit codes: 0 success, 1 failure, 2 wrong arguments or settings, 3 lost race
+against another change, 4 faulty document, 5 withdrawal not yet committed.
 )";
 
 using Arguments = std::map<std::string, docopt::value>;
@@ -66,6 +78,45 @@
   return set ? found->second.asString() : "";
 }
 
+// The flag's value, else that of its environment variable.
+std::string
+FlagOrVariable(const Arguments& aArguments,
+               const std::string& aFlag,
+               const char* aVariable)
+{
+  const std::string text = TextOf(aArguments, aFlag);
+  const char* variable = std::getenv(aVariable);
+  return text.empty() && variable != nullptr ? variable : text;
+}
+
+int
+RunConfigCommand(const Arguments& aArguments)
+{
+  ConfigArguments config;
+  for (const char* action : { "validate",
+                              "show",
+                              "diff",
+                              "apply",
+                              "history",
+                              "status",
+                              "issue",
+                              "withdraw" }) {
+    if (aArguments.at(action).asBool()) {
+      config.action_ = action;
+    }
+  }
+  config.operators_ =
+    FlagOrVariable(aArguments, "--operators", "PERIDOTSAIL_OPERATORS");
+  config.operatorToken_ = FlagOrVariable(
+    aArguments, "--operator-token", "PERIDOTSAIL_OPERATOR_TOKEN");
+  config.author_ = FlagOrVariable(aArguments, "--author", "USER");
+  config.file_ = TextOf(aArguments, "<file>");
+  config.name_ = TextOf(aArguments, "<customer>") + TextOf(aArguments, "<id>");
+  config.expect_ = TextOf(aArguments, "--expect");
+  config.json_ = aArguments.at("--json").asBool();
+  return RunConfig(config);
+}
+
 int
 RunServe(const Arguments& aArguments)
 {
@@ -128,5 +179,8 @@
                      TextOf(arguments, "--block"),
                      arguments.at("--json").asBool());
   }
+  if (arguments.at("config").asBool()) {
+    return RunConfigCommand(arguments);
+  }
   return RunServe(arguments);
 }
--- a/src/app/PlatformReader.cc
+++ b/src/app/PlatformReader.cc
@@ -1,8 +1,6 @@
 #include "app/PlatformReader.h"
 
-#include "app/ConfigurationEnvelope.h"
 #include "base/EventLog.h"
-#include "config/ConfigurationParser.h"
 #include "http/BeastTypes.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -24,7 +22,6 @@
 
   void Tick()
   {
-    ReadConfiguration();
     ReadHosts();
     timer_.expires_after(detail::ToSteady(options_.interval_));
     timer_.async_wait([this](auto aError) {
@@ -34,66 +31,6 @@
     });
   }
 
-  void ReadConfiguration()
-  {
-    if (readingConfiguration_) {
-      return;
-    }
-    readingConfiguration_ = true;
-    store_.Get(kConfigurationKey, [this](auto aRecords, const Error& aError) {
-      readingConfiguration_ = false;
-      SetStoreReachable(aRecords.has_value(), aError);
-      if (aRecords && !aRecords->empty()) {
-        TakeRecord(aRecords->front());
-      }
-    });
-  }
-
-  void SetStoreReachable(bool aReachable, const Error& aError)
-  {
-    if (aReachable == storeReachable_) {
-      return;
-    }
-    storeReachable_ = aReachable;
-    if (aReachable) {
-      LogEvent(Event::StoreReachable);
-    } else {
-      LogEvent(Event::StoreUnreachable, { { "detail", aError.detail_ } });
-    }
-  }
-
-  void TakeRecord(const StoreRecord& aRecord)
-  {
-    if (aRecord.modRevision_ == lastRevision_) {
-      return;
-    }
-    lastRevision_ = aRecord.modRevision_;
-    const auto envelope = DecodeEnvelope(aRecord.value_);
-    if (!envelope) {
-      LogEvent(Event::ConfigurationRefused,
-               { { "detail", "the stored value is malformed" } });
-      return;
-    }
-    if (envelope->version_ <= version_) {
-      LogEvent(Event::ConfigurationReverted,
-               { { "offered", envelope->version_ }, { "in_force", version_ } });
-      return;
-    }
-    std::vector<ConfigurationFault> faults;
-    auto parsed = ParseConfiguration(envelope->document_, faults);
-    if (!parsed) {
-      LogEvent(Event::ConfigurationRefused,
-               { { "version", envelope->version_ },
-                 { "detail", DescribeFaults(faults) } });
-      return;
-    }
-    version_ = envelope->version_;
-    parsed->version_ = version_;
-    LogEvent(Event::ConfigurationInForce, { { "version", version_ } });
-    hooks_.onConfiguration_(
-      std::make_shared<const Configuration>(std::move(*parsed)));
-  }
-
   void ReadHosts()
   {
     if (readingHosts_) {
@@ -123,12 +60,8 @@
   StoreClient store_;
   HostListClient hostList_;
   boost::asio::steady_timer timer_;
-  bool readingConfiguration_ = false;
   bool readingHosts_ = false;
-  bool storeReachable_ = true;
   bool hostListReachable_ = true;
-  std::int64_t lastRevision_ = 0;
-  std::int64_t version_ = 0;
   std::vector<ListedHost> hosts_;
 };
 
--- a/src/app/PlatformReader.h
+++ b/src/app/PlatformReader.h
@@ -1,10 +1,9 @@
 #pragma once
 
-// Reads the configuration and the host list from the platform at a fixed
-// interval and reports what is new. Runs on the platform thread.
+// Reads the host list from the platform at a fixed interval and reports what is
+// new; owns the store client. Runs on the platform thread.
 
 #include "base/BootClock.h"
-#include "config/Configuration.h"
 #include "platform/HostListClient.h"
 #include "platform/StoreClient.h"
 
@@ -25,8 +24,6 @@
 // Run on the platform thread.
 struct PlatformReaderHooks
 {
-  // A version that is valid and newer than all before.
-  std::function<void(ConfigurationPtr)> onConfiguration_;
   // The list differs from the one before.
   std::function<void(std::vector<ListedHost>)> onHosts_;
 };
--- a/src/app/TrafficHooks.cc
+++ b/src/app/TrafficHooks.cc
@@ -1,7 +1,6 @@
 #include "app/TrafficHooks.h"
 
 #include "base/EventLog.h"
-#include "base/Hash.h"
 
 #include <algorithm>
 
@@ -58,6 +57,17 @@
   }
 }
 
+void
+TrafficHooks::SetKeyState(const KeyState& aState)
+{
+  if (keysOf_ != aState.configuration_) {
+    keysOf_ = aState.configuration_;
+    keyTable_.SetConfiguration(keysOf_);
+  }
+  keyTable_.SetWithdrawn(aState.withdrawn_);
+  keyTable_.SetFreshUntil(aState.freshUntil_);
+}
+
 std::string
 TrafficHooks::Lookup(const std::string& aBlock) const
 {
@@ -75,31 +85,14 @@
 TrafficHooks::Authenticate(const std::string* aAuthorization,
                            Error& aError) const
 {
-  constexpr std::string_view kScheme = "Bearer ";
-  aError = { ErrorKind::Unauthenticated, "" };
-  if (aAuthorization == nullptr || aAuthorization->rfind(kScheme, 0) != 0) {
-    return std::nullopt;
-  }
-  const std::string_view presented =
-    std::string_view(*aAuthorization).substr(kScheme.size());
-  const std::size_t dot = presented.find('.');
-  if (dot == std::string_view::npos) {
+  const KeyDecision decision = keyTable_.Check(
+    BootClock::now(),
+    aAuthorization == nullptr ? std::string_view() : *aAuthorization);
+  if (decision.refusal_) {
+    aError = { *decision.refusal_, "" };
     return std::nullopt;
   }
-  const std::string hash = Sha256Hex(presented.substr(dot + 1));
-  const ConfigurationPtr configuration = configuration_.Get();
-  for (const KeyConfig& key : configuration->keys_) {
-    if (key.id_ != presented.substr(0, dot) ||
-        !EqualConstantTime(key.sha256_, hash)) {
-      continue;
-    }
-    if (key.withdrawn_) {
-      aError.kind_ = ErrorKind::KeyWithdrawn;
-      return std::nullopt;
-    }
-    return key.customer_;
-  }
-  return std::nullopt;
+  return decision.customer_;
 }
 
 void
--- a/src/app/TrafficHooks.h
+++ b/src/app/TrafficHooks.h
@@ -3,9 +3,11 @@
 // The decisions of the traffic thread, as hooks of the request pipeline: which
 // customer, whether within the rate, which region and which backend server.
 
+#include "app/ConfigurationAgent.h"
 #include "app/HostDirectory.h"
 #include "app/Settings.h"
 #include "app/Snapshots.h"
+#include "keys/KeyTable.h"
 #include "peer/PeerMessage.h"
 #include "proxy/RequestPipeline.h"
 #include "proxy/ServerSelector.h"
@@ -25,6 +27,7 @@
   PipelineHooks Make();
   // A link to a peer came up or went down.
   void OnLink(const PeerHello& aPeer, bool aUp);
+  void SetKeyState(const KeyState& aState);
 
 private:
   std::string Lookup(const std::string& aBlock) const;
@@ -42,6 +45,8 @@
   const Snapshot<Configuration>& configuration_;
   const HostDirectory& directory_;
   ServerSelector selector_;
+  KeyTable keyTable_;
+  ConfigurationPtr keysOf_;
   std::map<std::string, PeerHello> linked_;
 };
 
--- a/src/app/testing/SettingsTest.cc
+++ b/src/app/testing/SettingsTest.cc
@@ -1,6 +1,6 @@
 #include "app/Settings.h"
-#include "app/ConfigurationEnvelope.h"
 #include "app/HostDirectory.h"
+#include "config/ConfigurationSnapshot.h"
 
 #include <catch2/catch.hpp>
 #include <map>
@@ -109,14 +109,14 @@
 
 TEST_CASE("malformed envelopes are refused")
 {
-  const ConfigurationEnvelope envelope{ 3, "id", "me", "{\"format\":1}" };
-  CHECK(DecodeEnvelope(EncodeEnvelope(envelope))->version_ == 3);
+  const ConfigurationRecord record{ 3, "id", "me", "{\"format\":1}" };
+  CHECK(ParseRecord(FormatRecord(record))->version_ == 3);
   for (const char* bad : { "",
                            "[]",
                            "{}",
                            R"({"version":0,"document":{}})",
                            R"({"version":"1","document":{}})",
                            R"({"version":1})" }) {
-    CHECK_FALSE(DecodeEnvelope(bad));
+    CHECK_FALSE(ParseRecord(bad));
   }
 }
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -31,6 +31,7 @@
   ConfigurationConflict = 2005,
   KeyRefused = 2006,
   HostIsolated = 2007,
+  HostConfirmed = 2101,
   // 3000: platform
   StoreUnreachable = 3001,
   StoreReachable = 3002,
--- a/src/config/ConfigurationSnapshot.cc
+++ b/src/config/ConfigurationSnapshot.cc
@@ -49,13 +49,15 @@
   const auto author = value.find("author");
   const auto document = value.find("document");
   if (version == value.end() || !version->is_number_integer() ||
-      attempt == value.end() || !attempt->is_string() ||
-      document == value.end() || !document->is_object()) {
+      version->get<std::int64_t>() < 1 || document == value.end() ||
+      !document->is_object()) {
     return std::nullopt;
   }
   ConfigurationRecord record;
   record.version_ = version->get<std::int64_t>();
-  record.attempt_ = attempt->get<std::string>();
+  if (attempt != value.end() && attempt->is_string()) {
+    record.attempt_ = attempt->get<std::string>();
+  }
   if (author != value.end() && author->is_string()) {
     record.author_ = author->get<std::string>();
   }
--- a/src/config/KeyedDocument.cc
+++ b/src/config/KeyedDocument.cc
@@ -125,11 +125,13 @@
         aBytes.begin(), aBytes.end(), &check, Json::input_format_t::cbor)) {
     return std::nullopt;
   }
-  Json value = Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  if (value.is_discarded()) {
+  // from_cbor throws for excessive sizes although exceptions are switched off.
+  try {
+    Json value = Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+    return value.is_discarded() ? std::nullopt : std::optional(value);
+  } catch (const Json::exception&) {
     return std::nullopt;
   }
-  return value;
 }
 
 }
--- a/src/keys/KeyFreshness.cc
+++ b/src/keys/KeyFreshness.cc
@@ -21,6 +21,7 @@
     listed[name] = known == peers_.end() ? Peer{} : known->second;
   }
   peers_ = std::move(listed);
+  listKnown_ = true;
 }
 
 void
@@ -30,7 +31,7 @@
     if (!recoveringSince_) {
       recoveringSince_ = aNow;
     }
-    const bool settled = peers_.empty() ||
+    const bool settled = (listKnown_ && peers_.empty()) ||
                          aNow - *recoveringSince_ >= options_.settle_ ||
                          PeersInSameState(*recoveringSince_) > 0;
     if (!settled) {
@@ -119,7 +120,7 @@
 TimePoint
 KeyFreshness::FreshUntil() const
 {
-  if (peers_.empty() && storeReachable_ == false) {
+  if (listKnown_ && peers_.empty() && storeReachable_ == false) {
     // This is the only host, so a withdrawal can come through it only.
     return TimePoint::max();
   }
--- a/src/keys/KeyFreshness.h
+++ b/src/keys/KeyFreshness.h
@@ -112,6 +112,8 @@
   const FreshnessOptions options_;
   std::uint64_t lastSequence_;
   std::map<std::uint64_t, TimePoint> sentAt_;
+  // A host that has not read the list must not take itself for the only one.
+  bool listKnown_ = false;
   std::map<std::string, Peer> peers_;
   std::optional<TimePoint> confirmedAt_;
   std::optional<bool> storeReachable_;
--- a/src/testing/ProcessGroup.cc
+++ b/src/testing/ProcessGroup.cc
@@ -234,6 +234,7 @@
     const json status = StatusOf(host);
     const bool ready =
       status.value("config_version", 0) >= version_ &&
+      status.value("keys_fresh", false) &&
       status.value("peers", json::array()).size() + 1 == hosts_.size();
     if (!ready) {
       return false;
