--- a/src/app/ConfigurationAgent.cc
+++ b/src/app/ConfigurationAgent.cc
@@ -249,12 +249,11 @@
     return node_.InForce() ? node_.InForce()->version_ : 0;
   }
 
-  void Apply(ChangeRequest aRequest, ChangeCallback aCallback)
+  void Apply(ChangeRequest aRequest, const ChangeCallback& aCallback)
   {
     aRequest.attempt_ = RandomId();
     aRequest.inForceVersion_ = VersionInForce();
-    Step(std::make_shared<ConfigurationChange>(std::move(aRequest)),
-         std::move(aCallback));
+    Step(std::make_shared<ConfigurationChange>(std::move(aRequest)), aCallback);
   }
 
   using ChangePtr = std::shared_ptr<ConfigurationChange>;
@@ -347,7 +346,7 @@
       ids.push_back(key.id_);
     }
     WithdrawInStore("store outage",
-                    std::move(ids),
+                    ids,
                     kWithdrawalRounds,
                     [](const std::optional<ChangeOutcome>&) {});
   }
@@ -464,15 +463,16 @@
 }
 
 void
-ConfigurationAgent::Apply(ChangeRequest aRequest, ChangeCallback aCallback)
+ConfigurationAgent::Apply(ChangeRequest aRequest,
+                          const ChangeCallback& aCallback)
 {
-  impl_->Apply(std::move(aRequest), std::move(aCallback));
+  impl_->Apply(std::move(aRequest), aCallback);
 }
 
 void
 ConfigurationAgent::Withdraw(const std::string& aAuthor,
-                             std::vector<std::string> aIds,
-                             WithdrawalCallback aCallback)
+                             const std::vector<std::string>& aIds,
+                             const WithdrawalCallback& aCallback)
 {
   impl_->Withdraw(aAuthor, aIds, aCallback);
 }
--- a/src/app/ConfigurationAgent.h
+++ b/src/app/ConfigurationAgent.h
@@ -64,13 +64,13 @@
 
   using ChangeCallback = std::function<void(const ChangeOutcome&)>;
   // Commits a document; the attempt id and the version in force are filled in.
-  void Apply(ChangeRequest aRequest, ChangeCallback aCallback);
+  void Apply(ChangeRequest aRequest, const ChangeCallback& aCallback);
   // Withdraws keys in the store's document, whatever version it has; by the
   // peers when the store does not answer.
   using WithdrawalCallback = std::function<void(const WithdrawalOutcome&)>;
   void Withdraw(const std::string& aAuthor,
-                std::vector<std::string> aIds,
-                WithdrawalCallback aCallback);
+                const std::vector<std::string>& aIds,
+                const WithdrawalCallback& aCallback);
   ConfigurationNode& Node();
 
 private:
--- a/src/app/ConfigurationApi.cc
+++ b/src/app/ConfigurationApi.cc
@@ -101,27 +101,31 @@
 void
 ConfigurationApi::AddTo(OperatorServer& aServer)
 {
-  aServer.Add("GET", "/config", [this](const HttpRequest&, Reply aReply) {
-    Show(aReply);
-  });
   aServer.Add(
-    "POST", "/config", [this](const HttpRequest& aRequest, Reply aReply) {
-      Apply(aRequest, aReply);
+    "GET", "/config", [this](const HttpRequest&, const Reply& aReply) {
+      Show(aReply);
+    });
+  aServer.Add("POST",
+              "/config",
+              [this](const HttpRequest& aRequest, const Reply& aReply) {
+                Apply(aRequest, aReply);
+              });
+  aServer.Add(
+    "GET", "/config/history", [this](const HttpRequest&, const Reply& aReply) {
+      History(aReply);
+    });
+  aServer.Add(
+    "GET", "/config/status", [this](const HttpRequest&, const Reply& aReply) {
+      Status(aReply);
     });
-  aServer.Add("GET",
-              "/config/history",
-              [this](const HttpRequest&, Reply aReply) { History(aReply); });
-  aServer.Add("GET",
-              "/config/status",
-              [this](const HttpRequest&, Reply aReply) { Status(aReply); });
   aServer.Add("POST",
               "/config/withdraw",
-              [this](const HttpRequest& aRequest, Reply aReply) {
+              [this](const HttpRequest& aRequest, const Reply& aReply) {
                 Withdraw(aRequest, aReply);
               });
   aServer.Add("GET",
               "/config/withdrawal",
-              [this](const HttpRequest& aRequest, Reply aReply) {
+              [this](const HttpRequest& aRequest, const Reply& aReply) {
                 Withdrawal(aRequest, aReply);
               });
 }
