Take non-idempotent requests through the claim registry

A repeated non-idempotent request ran again, because the pipeline knew nothing of claims. RequestRun now reads its body whole, relays it with the once mark to the holder of its slot, claims it, asks the registry again immediately before the first byte, ends the claim with the result and answers a repeated request with the recorded outcome. A caller that goes away does not end the run. The path is off while the host has no source of slot tenures.

--- a/src/once/ClaimRegistry.cc
+++ b/src/once/ClaimRegistry.cc
@@ -35,6 +35,8 @@
       return ErrorKind::IdempotencyKeyReused;
     case ClaimVerdict::NotHolder:
       return ErrorKind::PeerUnreachable;
+    case ClaimVerdict::TimedOut:
+      return ErrorKind::DeadlineExceeded;
     case ClaimVerdict::Full:
       return ErrorKind::QueueFull;
     default:
--- a/src/once/ClaimRegistry.h
+++ b/src/once/ClaimRegistry.h
@@ -56,6 +56,8 @@
   NotHolder,
   // The bound on memory is reached.
   Full,
+  // The deadline passed while the request waited (OnceService).
+  TimedOut,
 };
 
 struct ClaimDecision
--- a/src/once/OnceService.cc
+++ b/src/once/OnceService.cc
@@ -2,6 +2,7 @@
 
 #include "base/EventLog.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -12,9 +13,9 @@
 std::string_view
 NameOf(ClaimVerdict aVerdict)
 {
-  constexpr std::array<std::string_view, 8> kNames{
+  constexpr std::array<std::string_view, 9> kNames{
     "wait",       "execute",    "replay", "in-progress", "outcome-unknown",
-    "key-reused", "not-holder", "full"
+    "key-reused", "not-holder", "full",   "timed-out"
   };
   return kNames[static_cast<std::size_t>(aVerdict)];
 }
@@ -171,6 +172,7 @@
 std::uint64_t
 OnceService::Begin(const std::string& aKey,
                    const std::string& aFingerprint,
+                   TimePoint aDeadline,
                    TimePoint aNow,
                    Callback aCallback)
 {
@@ -182,7 +184,7 @@
     decision = registry->Begin({ aKey, aFingerprint, ticket, moved }, aNow);
   }
   if (decision.verdict_ == ClaimVerdict::Wait) {
-    waiting_[ticket] = { aKey, registry, std::move(aCallback) };
+    waiting_[ticket] = { aDeadline, aKey, registry, std::move(aCallback) };
     Pump(aNow);
     return ticket;
   }
@@ -191,17 +193,25 @@
   return ticket;
 }
 
-ExecutionState
-OnceService::Cancel(std::uint64_t aTicket, TimePoint aNow)
+void
+OnceService::RefuseOverdue(TimePoint aNow)
 {
-  const auto found = waiting_.find(aTicket);
-  if (found == waiting_.end()) {
-    return ExecutionState::Unknown;
+  std::vector<std::pair<ClaimDecision, Callback>> refused;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    Waiting& waiting = it->second;
+    if (aNow < waiting.deadline_) {
+      ++it;
+      continue;
+    }
+    const ExecutionState state =
+      waiting.registry_->Cancel(waiting.key_, it->first, aNow);
+    refused.emplace_back(MakeDecision(it->first, ClaimVerdict::TimedOut, state),
+                         std::move(waiting.callback_));
+    it = waiting_.erase(it);
+  }
+  for (const auto& [decision, callback] : refused) {
+    callback(decision, OnceExecution());
   }
-  const ExecutionState state =
-    found->second.registry_->Cancel(found->second.key_, aTicket, aNow);
-  waiting_.erase(found);
-  return state;
 }
 
 void
@@ -212,6 +222,7 @@
     retryLoad_.reset();
     Load(registry_, std::move(carried));
   }
+  RefuseOverdue(aNow);
   if (registry_) {
     PumpRegistry(registry_, aNow);
   }
@@ -251,12 +262,20 @@
     waiting.callback_(decision,
                       OnceExecution(aRegistry, waiting.key_, decision.ticket_));
   }
+  if (hooks_.wakeAt_) {
+    hooks_.wakeAt_(WakeAt(aNow));
+  }
 }
 
 TimePoint
 OnceService::WakeAt(TimePoint aNow) const
 {
-  return registry_ ? registry_->WakeAt(aNow) : aNow + std::chrono::seconds(1);
+  TimePoint wake =
+    registry_ ? registry_->WakeAt(aNow) : aNow + std::chrono::seconds(1);
+  for (const auto& [ticket, waiting] : waiting_) {
+    wake = std::min(wake, waiting.deadline_);
+  }
+  return wake;
 }
 
 void
--- a/src/once/OnceService.h
+++ b/src/once/OnceService.h
@@ -34,6 +34,8 @@
     perform_;
   // Reads all records below the prefix; nothing when the store did not answer.
   std::function<void(const std::string& aPrefix, Loaded)> load_;
+  // Pump is to be called at this time; replaces an earlier call's time.
+  std::function<void(TimePoint)> wakeAt_;
 };
 
 // The right to run one request once. Keeps the registry that gave it, also when
@@ -79,10 +81,9 @@
   // Returns the ticket; aCallback may run before the return.
   std::uint64_t Begin(const std::string& aKey,
                       const std::string& aFingerprint,
+                      TimePoint aDeadline,
                       TimePoint aNow,
                       Callback aCallback);
-  // The request of the ticket gives up; its callback does not run any more.
-  ExecutionState Cancel(std::uint64_t aTicket, TimePoint aNow);
   void Pump(TimePoint aNow);
   TimePoint WakeAt(TimePoint aNow) const;
   // Ends the delay of outcomes; the slot may be released when IsQuiet.
@@ -93,6 +94,7 @@
 private:
   struct Waiting
   {
+    TimePoint deadline_{};
     std::string key_;
     std::shared_ptr<ClaimRegistry> registry_;
     Callback callback_;
@@ -102,6 +104,7 @@
             std::vector<ClaimEntry> aCarried);
   // Answers the requests that wait for a registry that is no longer in use.
   void RefuseWaiting(const std::shared_ptr<ClaimRegistry>& aRegistry);
+  void RefuseOverdue(TimePoint aNow);
   void PumpRegistry(const std::shared_ptr<ClaimRegistry>& aRegistry,
                     TimePoint aNow);
   void LogDecision(const std::string& aKey, const ClaimDecision& aDecision);
--- a/src/proxy/BackendExchange.cc
+++ b/src/proxy/BackendExchange.cc
@@ -149,6 +149,10 @@
 void
 BackendExchange::SendHead()
 {
+  if (options_.mayStart_ && !options_.mayStart_()) {
+    Fail({ ErrorKind::PeerUnreachable, "the slot's lease has ended" });
+    return;
+  }
   request_.version(11);
   SetMethod(request_, head_.method_);
   request_.target(head_.target_);
--- a/src/proxy/BackendExchange.h
+++ b/src/proxy/BackendExchange.h
@@ -32,6 +32,8 @@
   // is used again, after which it is unknown whether the request ran. A
   // request that must not run twice uses a new connection.
   bool reuseConnection_ = true;
+  // Asked immediately before the first byte; empty means always.
+  std::function<bool()> mayStart_;
 };
 
 class BackendExchange : public std::enable_shared_from_this<BackendExchange>
--- /dev/null
+++ b/src/proxy/BufferedRequest.cc
@@ -0,0 +1,113 @@
+#include "proxy/BufferedRequest.h"
+
+#include "once/ClaimSegment.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace peridotsail::detail {
+
+BufferedRequest::BufferedRequest(boost::asio::io_context& aContext,
+                                 IncomingRequestPtr aInner)
+  : context_(aContext)
+  , inner_(std::move(aInner))
+  , head_(inner_->Head())
+{
+}
+
+void
+BufferedRequest::ReadWhole(std::uint64_t aMaxBytes, Done aDone)
+{
+  inner_->SetOnCancelled([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->callerGone_ = true;
+    }
+  });
+  if (!head_.hasBody_) {
+    aDone(std::nullopt);
+    return;
+  }
+  ReadNext(aMaxBytes, std::move(aDone));
+}
+
+void
+BufferedRequest::ReadNext(std::uint64_t aMaxBytes, Done aDone)
+{
+  inner_->ReadBody([self = shared_from_this(), aMaxBytes, aDone](
+                     std::optional<BodyPiece> aPiece, const Error& aError) {
+    if (!aPiece) {
+      aDone(aError);
+      return;
+    }
+    if (self->body_.size() + aPiece->bytes_.size() > aMaxBytes) {
+      aDone(Error{ ErrorKind::BodyTooLarge, "" });
+      return;
+    }
+    self->body_ += aPiece->bytes_;
+    if (aPiece->last_) {
+      self->head_.contentLength_ = self->body_.size();
+      aDone(std::nullopt);
+      return;
+    }
+    self->ReadNext(aMaxBytes, aDone);
+  });
+}
+
+void
+BufferedRequest::ReadBody(ReadCallback aCallback)
+{
+  boost::asio::post(
+    context_, [self = shared_from_this(), callback = std::move(aCallback)] {
+      callback(BodyPiece{ self->body_, true }, Error());
+    });
+}
+
+IncomingRequest::WriteCallback
+BufferedRequest::GoOn(WriteCallback aCallback)
+{
+  return [self = shared_from_this(),
+          callback = std::move(aCallback)](bool aSuccess) {
+    self->callerGone_ = self->callerGone_ || !aSuccess;
+    callback(true);
+  };
+}
+
+void
+BufferedRequest::SendHead(ResponseHead aHead, WriteCallback aCallback)
+{
+  headSent_ = true;
+  outcome_.status_ = aHead.status_;
+  for (const auto& [name, value] : aHead.headers_) {
+    if (name == "Content-Type") {
+      outcome_.contentType_ = value;
+    }
+  }
+  if (callerGone_) {
+    boost::asio::post(
+      context_, [callback = GoOn(std::move(aCallback))] { callback(false); });
+    return;
+  }
+  inner_->SendHead(std::move(aHead), GoOn(std::move(aCallback)));
+}
+
+void
+BufferedRequest::SendBody(BodyPiece aPiece, WriteCallback aCallback)
+{
+  if (outcome_.body_.size() <= kMaxOutcomeBody) {
+    outcome_.body_ += aPiece.bytes_;
+  }
+  if (callerGone_) {
+    boost::asio::post(
+      context_, [callback = GoOn(std::move(aCallback))] { callback(false); });
+    return;
+  }
+  inner_->SendBody(std::move(aPiece), GoOn(std::move(aCallback)));
+}
+
+void
+BufferedRequest::Abort()
+{
+  inner_->Abort();
+}
+
+}
--- /dev/null
+++ b/src/proxy/OnceRun.cc
@@ -0,0 +1,156 @@
+// The part of RequestRun for at-most-once execution.
+
+#include "base/EventLog.h"
+#include "proxy/RequestRun.h"
+
+#include <utility>
+
+namespace peridotsail::detail {
+
+bool
+RequestRun::NeedsOnce() const
+{
+  const auto& source = pipeline_->hooks_.once_;
+  return !query_.route_->idempotent_ && source && source() != nullptr;
+}
+
+void
+RequestRun::StartOnce()
+{
+  buffered_ = std::make_shared<BufferedRequest>(
+    pipeline_->connections_.Context(), incoming_);
+  incoming_ = buffered_;
+  buffered_->ReadWhole(
+    query_.route_->maxBodyBytes_,
+    [self = shared_from_this()](const std::optional<Error>& aError) {
+      self->OnBodyRead(aError);
+    });
+}
+
+void
+RequestRun::OnBodyRead(const std::optional<Error>& aError)
+{
+  if (aError) {
+    Refusal refusal = MakeRefusal(aError->kind_, aError->detail_);
+    refusal.execution_ = ExecutionState::NotRun;
+    Refuse(refusal);
+    return;
+  }
+  const RequestHead& head = incoming_->Head();
+  onceKey_ =
+    OnceKey(query_.customer_, *FindHeader(head.headers_, "Idempotency-Key"));
+  OnceService& once = *pipeline_->hooks_.once_();
+  const TimePoint now = BootClock::now();
+  if (!once.Holds(onceKey_, now)) {
+    RelayToHolder();
+    return;
+  }
+  once.Begin(onceKey_,
+             OnceFingerprint(head.method_, head.target_, buffered_->Body()),
+             query_.deadline_,
+             now,
+             [self = shared_from_this()](const ClaimDecision& aDecision,
+                                         OnceExecution aExecution) {
+               self->OnClaimDecision(aDecision, std::move(aExecution));
+             });
+}
+
+// A relayed request is not relayed again: the two hosts disagree for a moment
+// about the holder, and the caller asks again.
+void
+RequestRun::RelayToHolder()
+{
+  const OnceRoute route =
+    pipeline_->hooks_.once_()->RouteOf(onceKey_, BootClock::now());
+  const std::string& holder = route.holder_.host_;
+  if (query_.relayed_ || holder.empty() ||
+      holder == pipeline_->hooks_.hostName_) {
+    Refusal refusal = MakeRefusal(ErrorKind::PeerUnreachable,
+                                  "the request's slot has no holder");
+    refusal.execution_ = ExecutionState::Unknown;
+    Refuse(refusal);
+    return;
+  }
+  LogEvent(
+    Event::OnceRelayed,
+    { { "key", onceKey_ }, { "slot", route.slot_ }, { "to_host", holder } });
+  RelayRequestHead head;
+  head.head_ = ForwardedHead();
+  head.customer_ = query_.customer_;
+  head.route_ = query_.route_->name_;
+  head.once_ = true;
+  pipeline_->relays_.Start(
+    incoming_,
+    holder,
+    std::move(head),
+    query_.deadline_,
+    [self = shared_from_this()](const RelayResult& aResult) {
+      self->OnRelayDone(aResult);
+    });
+}
+
+void
+RequestRun::OnClaimDecision(const ClaimDecision& aDecision,
+                            OnceExecution aExecution)
+{
+  switch (aDecision.verdict_) {
+    case ClaimVerdict::Execute:
+      once_ = true;
+      execution_ = std::move(aExecution);
+      ChooseServer();
+      break;
+    case ClaimVerdict::Replay:
+      SendRecorded(aDecision.outcome_);
+      break;
+    default: {
+      Refusal refusal = MakeRefusal(KindOf(aDecision.verdict_));
+      refusal.execution_ = aDecision.execution_;
+      Refuse(refusal);
+    }
+  }
+}
+
+void
+RequestRun::SendRecorded(const RecordedOutcome& aOutcome)
+{
+  ResponseHead head;
+  head.status_ = aOutcome.status_;
+  if (aOutcome.bodyKept_ && !aOutcome.contentType_.empty()) {
+    head.headers_.push_back({ "Content-Type", aOutcome.contentType_ });
+  }
+  head.headers_.push_back(
+    { "Execution-State", std::string(NameOf(ExecutionState::Complete)) });
+  SendDocument(incoming_,
+               std::move(head),
+               aOutcome.body_,
+               [self = shared_from_this(), status = aOutcome.status_] {
+                 self->Finish(status);
+               });
+}
+
+void
+RequestRun::FinishClaim(const ExchangeResult& aResult)
+{
+  if (!once_) {
+    return;
+  }
+  const RunResult result = !aResult.error_ ? RunResult::Complete
+                           : aResult.execution_ == ExecutionState::NotRun
+                             ? RunResult::NotRun
+                             : RunResult::Unknown;
+  const TimePoint now = BootClock::now();
+  execution_.Finish(result, buffered_->Outcome(), now);
+  if (OnceService* service = pipeline_->hooks_.once_()) {
+    service->Pump(now);
+  }
+}
+
+void
+RequestRun::AbandonClaim()
+{
+  ExchangeResult result;
+  result.error_ = Error{ ErrorKind::NoBackendServer, "" };
+  FinishClaim(result);
+}
+
+}
--- a/src/proxy/RequestPipeline.h
+++ b/src/proxy/RequestPipeline.h
@@ -11,6 +11,7 @@
 
 #include "base/Metrics.h"
 #include "config/Configuration.h"
+#include "once/OnceService.h"
 #include "proxy/ExchangeResult.h"
 #include "proxy/IncomingRequest.h"
 #include "proxy/Refusal.h"
@@ -84,6 +85,12 @@
   // Whether a further attempt may be made for an idempotent request or one
   // that was not run.
   std::function<bool(const ServerQuery&, const ExchangeResult&)> mayRetry_;
+  // At-most-once execution of non-idempotent requests; null until the host has
+  // a source of slot tenures. Such requests are then run without retry, and a
+  // repeated one runs again.
+  std::function<OnceService*()> once_;
+  // This host's name.
+  std::string hostName_;
 };
 
 class RequestPipeline
--- a/src/proxy/RequestRun.cc
+++ b/src/proxy/RequestRun.cc
@@ -42,7 +42,11 @@
     return;
   }
   SetDeadline();
-  Dispatch();
+  if (NeedsOnce()) {
+    StartOnce();
+  } else {
+    Dispatch();
+  }
 }
 
 void
@@ -56,7 +60,12 @@
     Refuse(MakeRefusal(ErrorKind::ConfigurationMissing));
     return;
   }
-  if (CheckRoute() && CheckBody()) {
+  if (!CheckRoute() || !CheckBody() || !CheckIdempotencyKey()) {
+    return;
+  }
+  if (aRelayed.once_ && NeedsOnce()) {
+    StartOnce();
+  } else {
     ChooseServer();
   }
 }
@@ -234,6 +243,7 @@
       if (aChoice.server_) {
         self->Run(*aChoice.server_);
       } else {
+        self->AbandonClaim();
         self->Refuse(aChoice.refusal_);
       }
     });
@@ -256,6 +266,11 @@
   options.progressLimit_ = pipeline_->options_.progressLimit_;
   options.maxBodyBytes_ = query_.route_->maxBodyBytes_;
   options.reuseConnection_ = query_.route_->idempotent_;
+  if (once_) {
+    options.mayStart_ = [self = shared_from_this()] {
+      return self->execution_.MayStart(BootClock::now());
+    };
+  }
   std::make_shared<BackendExchange>(
     pipeline_->connections_,
     incoming_,
@@ -274,6 +289,11 @@
   if (aResult.silentSince_) {
     pipeline_->connections_.CloseIdle(aServer.address_, *aResult.silentSince_);
   }
+  if (aResult.error_ && MayRetry(aResult)) {
+    ChooseServer();
+    return;
+  }
+  FinishClaim(aResult);
   if (!aResult.error_) {
     Finish(aResult.status_);
     return;
@@ -282,10 +302,6 @@
     incoming_->Abort();
     return;
   }
-  if (MayRetry(aResult)) {
-    ChooseServer();
-    return;
-  }
   Refusal refusal = MakeRefusal(aResult.error_->kind_, aResult.error_->detail_);
   refusal.execution_ = aResult.execution_;
   Refuse(refusal);
@@ -298,7 +314,8 @@
     query_.route_->idempotent_ || aResult.execution_ == ExecutionState::NotRun;
   const bool useful =
     aResult.connectFailed_ || aResult.shed_ || aResult.connectionDied_;
-  return safe && useful && !aResult.bodyTaken_ && !incoming_->HeadSent() &&
+  return safe && useful && !aResult.callerGone_ &&
+         (!aResult.bodyTaken_ || once_) && !incoming_->HeadSent() &&
          attempts_ < pipeline_->options_.maxAttempts_ &&
          BootClock::now() < query_.deadline_ &&
          pipeline_->hooks_.mayRetry_(query_, aResult);
--- a/src/proxy/RequestRun.h
+++ b/src/proxy/RequestRun.h
@@ -5,6 +5,7 @@
 
 #include "proxy/BackendConnections.h"
 #include "proxy/BackendExchange.h"
+#include "proxy/BufferedRequest.h"
 #include "proxy/RequestPipeline.h"
 
 #include <memory>
@@ -56,6 +57,18 @@
   bool CheckRate();
   void SetDeadline();
   void Dispatch();
+  // At-most-once execution, in OnceRun.cc. NeedsOnce is true when the request
+  // takes that path.
+  bool NeedsOnce() const;
+  void StartOnce();
+  void OnBodyRead(const std::optional<Error>& aError);
+  void RelayToHolder();
+  void OnClaimDecision(const ClaimDecision& aDecision,
+                       OnceExecution aExecution);
+  void SendRecorded(const RecordedOutcome& aOutcome);
+  void FinishClaim(const ExchangeResult& aResult);
+  // Ends the claim of a request that reached no backend server.
+  void AbandonClaim();
   void StartRelay(const RelayTarget& aTarget);
   void OnRelayDone(const RelayResult& aResult);
   void ChooseServer();
@@ -72,6 +85,10 @@
   ServerQuery query_;
   TimePoint start_;
   int attempts_ = 0;
+  std::shared_ptr<BufferedRequest> buffered_;
+  OnceExecution execution_;
+  std::string onceKey_;
+  bool once_ = false;
 };
 
 }
