Connect the claim registry to the store in the binary

OnceTransport carries the registry's store operations to the platform thread and the answers back. An operation without an answer counts as lost after 5 s, because a full ring between the threads drops messages. A host that stops gracefully writes its outcomes first.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -1,6 +1,7 @@
 #include "app/EntryHost.h"
 
 #include "app/HostDirectory.h"
+#include "app/OnceTransport.h"
 #include "app/OperatorServer.h"
 #include "app/PlatformReader.h"
 #include "app/Snapshots.h"
@@ -58,6 +59,7 @@
   PeerOptions MakePeerOptions() const;
   PeerHooks MakePeerHooks();
   RelayHooks MakeRelayHooks();
+  PipelineHooks MakePipelineHooks();
   PlatformReaderHooks MakePlatformHooks();
   CallerServerOptions MakeCallerOptions() const;
   void AddOperatorPaths();
@@ -93,6 +95,8 @@
   RequestPipeline pipeline_;
   CallerServer callers_;
   PlatformReader platformReader_;
+  // Without effect until a source of slot tenures calls SetValidity.
+  OnceTransport once_;
   OperatorServer operatorServer_;
 
   // The main thread's own loop: signals and the shutdown.
@@ -116,7 +120,7 @@
   , hooks_(settings_, configuration_, directory_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
-  , pipeline_(traffic_.Context(), {}, hooks_.Make(), relays_, metrics_)
+  , pipeline_(traffic_.Context(), {}, MakePipelineHooks(), relays_, metrics_)
   , callers_(traffic_.Context(),
              MakeCallerOptions(),
              [this](IncomingRequestPtr aRequest) {
@@ -125,6 +129,7 @@
   , platformReader_(platform_.Context(),
                     { settings_.store_, settings_.hostList_ },
                     MakePlatformHooks())
+  , once_(traffic_, platform_, platformReader_.Store(), incarnation_)
   , operatorServer_(operator_.Context(),
                     { settings_.operators_, settings_.operatorToken_ },
                     metrics_)
@@ -186,12 +191,22 @@
   return hooks;
 }
 
+PipelineHooks
+EntryHost::Impl::MakePipelineHooks()
+{
+  PipelineHooks hooks = hooks_.Make();
+  hooks.once_ = [this] { return once_.Service(); };
+  hooks.hostName_ = settings_.hostName_;
+  return hooks;
+}
+
 PlatformReaderHooks
 EntryHost::Impl::MakePlatformHooks()
 {
   PlatformReaderHooks hooks;
   hooks.onConfiguration_ = [this](const ConfigurationPtr& aConfiguration) {
     configuration_.Set(aConfiguration);
+    once_.SetConfiguration(aConfiguration);
     metrics_
       .Gauge("peridotsail_configuration_version",
              "Configuration version in force on this host.")
@@ -361,6 +376,12 @@
   traffic_.RunAndWait([this, &idle] {
     idle = pipeline_.InFlight() == 0 && relays_.InFlight() == 0 &&
            callers_.Connections() == 0;
+    // A successor answers repeated requests only with written outcomes.
+    if (OnceService* once = once_.Service()) {
+      once->Flush();
+      once->Pump(BootClock::now());
+      idle = idle && once->IsQuiet();
+    }
   });
   return idle;
 }
--- /dev/null
+++ b/src/app/OnceTransport.h
@@ -0,0 +1,58 @@
+#pragma once
+
+// Connects OnceService on the traffic thread with the store client on the
+// platform thread.
+//
+//   OnceTransport transport(traffic, platform, store, incarnation);
+//   transport.SetValidity(lease.Validity());   // any thread
+//   hooks.once_ = [&] { return transport.Service(); };
+
+#include "base/DutyThread.h"
+#include "once/OnceService.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+class OnceTransport
+{
+public:
+  OnceTransport(DutyThread& aTraffic,
+                DutyThread& aPlatform,
+                StoreClient& aStore,
+                const std::string& aIncarnation);
+
+  // The slot that this host holds, at each change of its SlotLease. Until the
+  // first call Service is null.
+  void SetValidity(const SlotValidity& aValidity);
+  void SetHolders(std::map<std::string, SlotHolderHost> aHolders);
+  // The slots of the configuration in force.
+  void SetConfiguration(const ConfigurationPtr& aConfiguration);
+  // On the traffic thread only. Null while there is no source of tenures.
+  OnceService* Service() { return connected_ ? &service_ : nullptr; }
+
+private:
+  OnceStoreHooks MakeHooks();
+  void Perform(const SlotTenure& aTenure,
+               const StoreOperation& aOperation,
+               const OnceStoreHooks::Answer& aAnswer);
+  void ReadBack(const StoreOperation& aOperation,
+                const OnceStoreHooks::Answer& aAnswer);
+  void Load(const std::string& aPrefix, const OnceStoreHooks::Loaded& aLoaded);
+  void WakeAt(TimePoint aTime);
+  void PostToTraffic(DutyThread::Task aTask);
+
+  DutyThread& traffic_;
+  DutyThread& platform_;
+  StoreClient& store_;
+  OnceService service_;
+  boost::asio::steady_timer timer_;
+  bool connected_ = false;
+};
+
+}
--- a/src/once/ClaimCommitter.cc
+++ b/src/once/ClaimCommitter.cc
@@ -24,12 +24,17 @@
 std::optional<StoreOperation>
 ClaimCommitter::Next(TimePoint aNow)
 {
+  const bool awaited = state_ == State::Writing || state_ == State::Reading;
+  if (awaited && aNow >= answerUntil_) {
+    OnLost(aNow);
+  }
   if ((state_ != State::WriteDue && state_ != State::ReadDue) ||
       aNow < nextOperation_) {
     return std::nullopt;
   }
   StoreOperation operation;
   operation.id_ = ++operationId_;
+  answerUntil_ = aNow + options_.answerLimit_;
   if (state_ == State::WriteDue) {
     state_ = State::Writing;
     nextStart_ = aNow + options_.minimumInterval_;
@@ -110,6 +115,9 @@
   if (state_ == State::WriteDue || state_ == State::ReadDue) {
     return nextOperation_;
   }
+  if (state_ == State::Writing || state_ == State::Reading) {
+    return answerUntil_;
+  }
   return std::nullopt;
 }
 
--- a/src/once/ClaimCommitter.h
+++ b/src/once/ClaimCommitter.h
@@ -87,6 +87,9 @@
     // Wait after the first lost answer; doubles with each further one.
     Duration firstRetry_ = std::chrono::milliseconds(50);
     Duration lastRetry_ = std::chrono::seconds(2);
+    // An operation without an answer for longer counts as lost, for example
+    // because a ring between threads was full.
+    Duration answerLimit_ = std::chrono::seconds(5);
   };
 
   explicit ClaimCommitter(const Options& aOptions);
@@ -100,8 +103,8 @@
   // The operation that is due, or nothing.
   std::optional<StoreOperation> Next(TimePoint aNow);
   CommitEvent OnAnswer(const StoreAnswer& aAnswer, TimePoint aNow);
-  // When Next has something to do without a further answer; nothing while an
-  // answer is awaited or no record is on its way.
+  // When Next has something to do without a further answer; nothing while no
+  // record is on its way.
   std::optional<TimePoint> WakeAt() const;
   std::uint64_t Writes() const { return writes_; }
 
@@ -126,6 +129,7 @@
   std::uint64_t operationId_ = 0;
   TimePoint nextStart_{};
   TimePoint nextOperation_{};
+  TimePoint answerUntil_{};
   Duration retry_{};
   // An earlier write of this record may have taken effect.
   bool uncertain_ = false;
--- a/src/once/ClaimRegistry.cc
+++ b/src/once/ClaimRegistry.cc
@@ -56,7 +56,7 @@
 {
   if (aTenure.slot_ == tenure_.slot_ && aTenure.epoch_ == tenure_.epoch_) {
     tenure_.validUntil_ = aTenure.validUntil_;
-    tenure_.continuing_ = aTenure.continuing_;
+    tenure_.outageUntil_ = aTenure.outageUntil_;
   }
 }
 
@@ -79,7 +79,7 @@
 bool
 ClaimRegistry::MayClaimInMemory(TimePoint aNow) const
 {
-  return opened_ && tenure_.continuing_ && IsValid(aNow);
+  return opened_ && aNow < tenure_.outageUntil_ && IsValid(aNow);
 }
 
 ClaimDecision
@@ -201,7 +201,8 @@
 {
   const auto known = claims_.find(aKey);
   return known != claims_.end() && known->second.phase_ == Phase::Running &&
-         known->second.ticket_ == aTicket && IsValid(aNow);
+         known->second.ticket_ == aTicket && IsValid(aNow) &&
+         (known->second.durable_ || MayClaimInMemory(aNow));
 }
 
 void
--- a/src/once/ClaimSegment.cc
+++ b/src/once/ClaimSegment.cc
@@ -148,6 +148,23 @@
 
 }
 
+SlotTenure
+TenureOf(const SlotValidity& aValidity)
+{
+  SlotTenure tenure;
+  tenure.slot_ =
+    aValidity.slot_.region_ + "/" + std::to_string(aValidity.slot_.number_);
+  tenure.epoch_ = aValidity.epoch_;
+  tenure.validUntil_ =
+    aValidity.index_ >= 0 ? aValidity.validUntil_ : TimePoint{};
+  tenure.outageUntil_ = aValidity.outageUntil_;
+  tenure.predecessorMayHaveContinued_ =
+    aValidity.predecessor_ == PredecessorOutage::MayHaveContinued;
+  tenure.fenceKey_ = aValidity.fenceKey_;
+  tenure.fenceRevision_ = aValidity.fenceRevision_;
+  return tenure;
+}
+
 std::string
 OnceKey(std::string_view aCustomer, std::string_view aIdempotencyKey)
 {
--- a/src/once/OnceService.cc
+++ b/src/once/OnceService.cc
@@ -10,6 +10,10 @@
 
 namespace {
 
+// A load without an answer for longer is sent again; a failed one earlier.
+constexpr Duration kLoadLimit = std::chrono::seconds(5);
+constexpr Duration kLoadRetry = std::chrono::milliseconds(500);
+
 std::string_view
 NameOf(ClaimVerdict aVerdict)
 {
@@ -95,8 +99,8 @@
   }
   const auto former =
     std::exchange(registry_, std::make_shared<ClaimRegistry>(options_, tenure));
-  retryLoad_.reset();
-  Load(registry_, std::move(carried));
+  carried_ = std::move(carried);
+  Load(registry_, aNow);
   RefuseWaiting(former);
 }
 
@@ -119,24 +123,24 @@
 
 void
 OnceService::Load(const std::shared_ptr<ClaimRegistry>& aRegistry,
-                  std::vector<ClaimEntry> aCarried)
+                  TimePoint aNow)
 {
+  nextLoad_ = aNow + kLoadLimit;
   const std::string slot = aRegistry->Tenure().slot_;
   const std::string prefix = aRegistry->Tenure().epoch_ == 1
                                ? ClaimRecordsPrefix()
                                : ClaimRecordPrefix(slot);
   const std::weak_ptr<bool> alive = alive_;
   hooks_.load_(prefix, [=](auto aRecords) {
-    if (alive.expired() || registry_ != aRegistry) {
+    if (alive.expired() || registry_ != aRegistry || aRegistry->IsLoaded()) {
       return;
     }
+    const TimePoint now = BootClock::now();
     if (!aRecords) {
-      // Retried by Pump, which finds the registry not loaded.
-      retryLoad_ = aCarried;
+      nextLoad_ = now + kLoadRetry;
       return;
     }
-    const TimePoint now = BootClock::now();
-    aRegistry->Load(*aRecords, aCarried, now);
+    aRegistry->Load(*aRecords, std::exchange(carried_, {}), now);
     LogEvent(Event::ClaimsLoaded,
              { { "slot", slot },
                { "epoch", aRegistry->Tenure().epoch_ },
@@ -217,10 +221,8 @@
 void
 OnceService::Pump(TimePoint aNow)
 {
-  if (registry_ && retryLoad_) {
-    std::vector<ClaimEntry> carried = std::move(*retryLoad_);
-    retryLoad_.reset();
-    Load(registry_, std::move(carried));
+  if (registry_ && !registry_->IsLoaded() && aNow >= nextLoad_) {
+    Load(registry_, aNow);
   }
   RefuseOverdue(aNow);
   if (registry_) {
@@ -292,6 +294,12 @@
   return !registry_ || registry_->IsFenced() || registry_->IsQuiet();
 }
 
+bool
+OnceService::HasUnwritten(TimePoint aNow) const
+{
+  return registry_ && !registry_->Unwritten(aNow).empty();
+}
+
 void
 OnceService::LogDecision(const std::string& aKey,
                          const ClaimDecision& aDecision)
--- a/src/once/OnceService.h
+++ b/src/once/OnceService.h
@@ -89,6 +89,8 @@
   // Ends the delay of outcomes; the slot may be released when IsQuiet.
   void Flush();
   bool IsQuiet() const;
+  // Whether claims or outcomes are in memory only.
+  bool HasUnwritten(TimePoint aNow) const;
   const ClaimRegistry* Registry() const { return registry_.get(); }
 
 private:
@@ -100,8 +102,7 @@
     Callback callback_;
   };
 
-  void Load(const std::shared_ptr<ClaimRegistry>& aRegistry,
-            std::vector<ClaimEntry> aCarried);
+  void Load(const std::shared_ptr<ClaimRegistry>& aRegistry, TimePoint aNow);
   // Answers the requests that wait for a registry that is no longer in use.
   void RefuseWaiting(const std::shared_ptr<ClaimRegistry>& aRegistry);
   void RefuseOverdue(TimePoint aNow);
@@ -113,9 +114,9 @@
   OnceStoreHooks hooks_;
   SlotMap map_;
   std::shared_ptr<ClaimRegistry> registry_;
-  // Set when the store did not answer the load: the carried entries of the
-  // next try.
-  std::optional<std::vector<ClaimEntry>> retryLoad_;
+  // Of the load of registry_; kept for a further try.
+  std::vector<ClaimEntry> carried_;
+  TimePoint nextLoad_{};
   std::unordered_map<std::uint64_t, Waiting> waiting_;
   std::uint64_t lastTicket_ = 0;
   // Expires with this object; answers that come later are dropped.
--- a/src/once/OnceTypes.h
+++ b/src/once/OnceTypes.h
@@ -4,6 +4,7 @@
 
 #include "base/BootClock.h"
 #include "base/ErrorKind.h"
+#include "budget/SlotTypes.h"
 
 #include <cstdint>
 #include <string>
@@ -20,10 +21,12 @@
   std::uint64_t epoch_ = 0;
   // Checked at the moment of use.
   TimePoint validUntil_{};
-  // The lease is extended without the store because the other holders of the
-  // region confirm an outage. Only then may claims be made in memory: only then
-  // does the successor learn that its predecessor may have continued.
-  bool continuing_ = false;
+  // Until then the other holders of the region confirm an outage of the store.
+  // Only then may claims be made in memory: only then does the successor learn
+  // that its predecessor may have continued. The lease must keep that mark
+  // until the claims are in the store (OnceService::HasUnwritten), also when it
+  // is renewed in between.
+  TimePoint outageUntil_{};
   // The previous holder may have executed requests whose claims are not in the
   // store.
   bool predecessorMayHaveContinued_ = true;
@@ -33,6 +36,10 @@
   std::int64_t fenceRevision_ = 0;
 };
 
+// The tenure of a slot that this process holds.
+SlotTenure
+TenureOf(const SlotValidity& aValidity);
+
 // A request of a non-idempotent route, as the holder of its slot sees it.
 struct OnceRequest
 {
--- a/src/once/testing/ClaimRegistryTest.cc
+++ b/src/once/testing/ClaimRegistryTest.cc
@@ -264,7 +264,7 @@
   bench.Wait(milliseconds(25));
   bench.Store(StoreAnswerKind::Lost);
   CHECK(bench.Decisions().empty());
-  bench.tenure_.continuing_ = true;
+  bench.tenure_.outageUntil_ = bench.now_ + seconds(3);
   bench.tenure_.validUntil_ = bench.now_ + seconds(3);
   bench.registry_->Renew(bench.tenure_);
   bench.Store(StoreAnswerKind::Lost);
--- a/src/once/testing/OnceWorld.cc
+++ b/src/once/testing/OnceWorld.cc
@@ -142,7 +142,7 @@
   tenure.slot_ = kSlot;
   tenure.epoch_ = aLease.epoch_;
   tenure.validUntil_ = aLease.validUntil_;
-  tenure.continuing_ = aLease.continuing_;
+  tenure.outageUntil_ = aLease.continuing_ ? aLease.validUntil_ : TimePoint{};
   tenure.predecessorMayHaveContinued_ = false;
   return tenure;
 }
@@ -311,7 +311,7 @@
     State(aKey, aDecision.execution_);
     return;
   }
-  result_.memoryRuns_ += aRegistry->Tenure().continuing_ ? 1 : 0;
+  result_.memoryRuns_ += now_ < aRegistry->Tenure().outageUntil_ ? 1 : 0;
   OnHost(aHost, Between(0, 0.2), [=, ticket = aDecision.ticket_] {
     Execute(aHost, aRegistry, aKey, ticket);
   });
