--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -3,6 +3,7 @@
 #include "app/ConfigurationAgent.h"
 #include "app/ConfigurationApi.h"
 #include "app/HostDirectory.h"
+#include "app/OnceTransport.h"
 #include "app/OperatorServer.h"
 #include "app/PlatformReader.h"
 #include "app/Snapshots.h"
@@ -83,6 +84,7 @@
   PeerOptions MakePeerOptions() const;
   PeerHooks MakePeerHooks();
   RelayHooks MakeRelayHooks();
+  PipelineHooks MakePipelineHooks();
   PlatformReaderHooks MakePlatformHooks();
   ConfigurationAgentHooks MakeAgentHooks();
   CallerServerOptions MakeCallerOptions() const;
@@ -122,6 +124,8 @@
   CallerServer callers_;
   PlatformReader platformReader_;
   ConfigurationAgent agent_;
+  // Without effect until a source of slot tenures calls SetValidity.
+  OnceTransport once_;
   OperatorServer operatorServer_;
   ConfigurationApi configurationApi_;
 
@@ -146,7 +150,7 @@
   , hooks_(settings_, configuration_, directory_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
-  , pipeline_(traffic_.Context(), {}, hooks_.Make(), relays_, metrics_)
+  , pipeline_(traffic_.Context(), {}, MakePipelineHooks(), relays_, metrics_)
   , callers_(traffic_.Context(),
              MakeCallerOptions(),
              [this](IncomingRequestPtr aRequest) {
@@ -160,6 +164,7 @@
            settings_.hostName_,
            settings_.region_,
            MakeAgentHooks())
+  , once_(traffic_, platform_, platformReader_.Store(), incarnation_)
   , operatorServer_(operator_.Context(),
                     { settings_.operators_, settings_.operatorToken_ },
                     metrics_)
@@ -227,6 +232,15 @@
   return hooks;
 }
 
+PipelineHooks
+EntryHost::Impl::MakePipelineHooks()
+{
+  PipelineHooks hooks = hooks_.Make();
+  hooks.once_ = [this] { return once_.Service(); };
+  hooks.hostName_ = settings_.hostName_;
+  return hooks;
+}
+
 PlatformReaderHooks
 EntryHost::Impl::MakePlatformHooks()
 {
@@ -261,6 +275,7 @@
   };
   hooks.onConfiguration_ = [this](const SnapshotPtr& aSnapshot) {
     configuration_.Set(aSnapshot->configuration_);
+    once_.SetConfiguration(aSnapshot->configuration_);
     metrics_
       .Gauge("peridotsail_configuration_version",
              "Configuration version in force on this host.")
@@ -432,6 +447,12 @@
   traffic_.RunAndWait([this, &idle] {
     idle = pipeline_.InFlight() == 0 && relays_.InFlight() == 0 &&
            callers_.Connections() == 0;
+    // A successor answers repeated requests only with written outcomes.
+    if (OnceService* once = once_.Service()) {
+      once->Flush();
+      once->Pump(BootClock::now());
+      idle = idle && once->IsQuiet();
+    }
   });
   return idle;
 }
--- a/src/once/OnceService.cc
+++ b/src/once/OnceService.cc
@@ -2,6 +2,7 @@
 
 #include "base/EventLog.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -9,12 +10,16 @@
 
 namespace {
 
+// A load without an answer for longer is sent again; a failed one earlier.
+constexpr Duration kLoadLimit = std::chrono::seconds(5);
+constexpr Duration kLoadRetry = std::chrono::milliseconds(500);
+
 std::string_view
 NameOf(ClaimVerdict aVerdict)
 {
-  constexpr std::array<std::string_view, 8> kNames{
+  constexpr std::array<std::string_view, 9> kNames{
     "wait",       "execute",    "replay", "in-progress", "outcome-unknown",
-    "key-reused", "not-holder", "full"
+    "key-reused", "not-holder", "full",   "timed-out"
   };
   return kNames[static_cast<std::size_t>(aVerdict)];
 }
@@ -94,8 +99,8 @@
   }
   const auto former =
     std::exchange(registry_, std::make_shared<ClaimRegistry>(options_, tenure));
-  retryLoad_.reset();
-  Load(registry_, std::move(carried));
+  carried_ = std::move(carried);
+  Load(registry_, aNow);
   RefuseWaiting(former);
 }
 
@@ -118,24 +123,24 @@
 
 void
 OnceService::Load(const std::shared_ptr<ClaimRegistry>& aRegistry,
-                  std::vector<ClaimEntry> aCarried)
+                  TimePoint aNow)
 {
+  nextLoad_ = aNow + kLoadLimit;
   const std::string slot = aRegistry->Tenure().slot_;
   const std::string prefix = aRegistry->Tenure().epoch_ == 1
                                ? ClaimRecordsPrefix()
                                : ClaimRecordPrefix(slot);
   const std::weak_ptr<bool> alive = alive_;
   hooks_.load_(prefix, [=](auto aRecords) {
-    if (alive.expired() || registry_ != aRegistry) {
+    if (alive.expired() || registry_ != aRegistry || aRegistry->IsLoaded()) {
       return;
     }
+    const TimePoint now = BootClock::now();
     if (!aRecords) {
-      // Retried by Pump, which finds the registry not loaded.
-      retryLoad_ = aCarried;
+      nextLoad_ = now + kLoadRetry;
       return;
     }
-    const TimePoint now = BootClock::now();
-    aRegistry->Load(*aRecords, aCarried, now);
+    aRegistry->Load(*aRecords, std::exchange(carried_, {}), now);
     LogEvent(Event::ClaimsLoaded,
              { { "slot", slot },
                { "epoch", aRegistry->Tenure().epoch_ },
@@ -171,6 +176,7 @@
 std::uint64_t
 OnceService::Begin(const std::string& aKey,
                    const std::string& aFingerprint,
+                   TimePoint aDeadline,
                    TimePoint aNow,
                    Callback aCallback)
 {
@@ -182,7 +188,7 @@
     decision = registry->Begin({ aKey, aFingerprint, ticket, moved }, aNow);
   }
   if (decision.verdict_ == ClaimVerdict::Wait) {
-    waiting_[ticket] = { aKey, registry, std::move(aCallback) };
+    waiting_[ticket] = { aDeadline, aKey, registry, std::move(aCallback) };
     Pump(aNow);
     return ticket;
   }
@@ -191,27 +197,34 @@
   return ticket;
 }
 
-ExecutionState
-OnceService::Cancel(std::uint64_t aTicket, TimePoint aNow)
+void
+OnceService::RefuseOverdue(TimePoint aNow)
 {
-  const auto found = waiting_.find(aTicket);
-  if (found == waiting_.end()) {
-    return ExecutionState::Unknown;
+  std::vector<std::pair<ClaimDecision, Callback>> refused;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    Waiting& waiting = it->second;
+    if (aNow < waiting.deadline_) {
+      ++it;
+      continue;
+    }
+    const ExecutionState state =
+      waiting.registry_->Cancel(waiting.key_, it->first, aNow);
+    refused.emplace_back(MakeDecision(it->first, ClaimVerdict::TimedOut, state),
+                         std::move(waiting.callback_));
+    it = waiting_.erase(it);
+  }
+  for (const auto& [decision, callback] : refused) {
+    callback(decision, OnceExecution());
   }
-  const ExecutionState state =
-    found->second.registry_->Cancel(found->second.key_, aTicket, aNow);
-  waiting_.erase(found);
-  return state;
 }
 
 void
 OnceService::Pump(TimePoint aNow)
 {
-  if (registry_ && retryLoad_) {
-    std::vector<ClaimEntry> carried = std::move(*retryLoad_);
-    retryLoad_.reset();
-    Load(registry_, std::move(carried));
+  if (registry_ && !registry_->IsLoaded() && aNow >= nextLoad_) {
+    Load(registry_, aNow);
   }
+  RefuseOverdue(aNow);
   if (registry_) {
     PumpRegistry(registry_, aNow);
   }
@@ -251,12 +264,20 @@
     waiting.callback_(decision,
                       OnceExecution(aRegistry, waiting.key_, decision.ticket_));
   }
+  if (hooks_.wakeAt_) {
+    hooks_.wakeAt_(WakeAt(aNow));
+  }
 }
 
 TimePoint
 OnceService::WakeAt(TimePoint aNow) const
 {
-  return registry_ ? registry_->WakeAt(aNow) : aNow + std::chrono::seconds(1);
+  TimePoint wake =
+    registry_ ? registry_->WakeAt(aNow) : aNow + std::chrono::seconds(1);
+  for (const auto& [ticket, waiting] : waiting_) {
+    wake = std::min(wake, waiting.deadline_);
+  }
+  return wake;
 }
 
 void
@@ -273,6 +294,12 @@
   return !registry_ || registry_->IsFenced() || registry_->IsQuiet();
 }
 
+bool
+OnceService::HasUnwritten(TimePoint aNow) const
+{
+  return registry_ && !registry_->Unwritten(aNow).empty();
+}
+
 void
 OnceService::LogDecision(const std::string& aKey,
                          const ClaimDecision& aDecision)
--- a/src/once/OnceService.h
+++ b/src/once/OnceService.h
@@ -34,6 +34,8 @@
     perform_;
   // Reads all records below the prefix; nothing when the store did not answer.
   std::function<void(const std::string& aPrefix, Loaded)> load_;
+  // Pump is to be called at this time; replaces an earlier call's time.
+  std::function<void(TimePoint)> wakeAt_;
 };
 
 // The right to run one request once. Keeps the registry that gave it, also when
@@ -79,29 +81,31 @@
   // Returns the ticket; aCallback may run before the return.
   std::uint64_t Begin(const std::string& aKey,
                       const std::string& aFingerprint,
+                      TimePoint aDeadline,
                       TimePoint aNow,
                       Callback aCallback);
-  // The request of the ticket gives up; its callback does not run any more.
-  ExecutionState Cancel(std::uint64_t aTicket, TimePoint aNow);
   void Pump(TimePoint aNow);
   TimePoint WakeAt(TimePoint aNow) const;
   // Ends the delay of outcomes; the slot may be released when IsQuiet.
   void Flush();
   bool IsQuiet() const;
+  // Whether claims or outcomes are in memory only.
+  bool HasUnwritten(TimePoint aNow) const;
   const ClaimRegistry* Registry() const { return registry_.get(); }
 
 private:
   struct Waiting
   {
+    TimePoint deadline_{};
     std::string key_;
     std::shared_ptr<ClaimRegistry> registry_;
     Callback callback_;
   };
 
-  void Load(const std::shared_ptr<ClaimRegistry>& aRegistry,
-            std::vector<ClaimEntry> aCarried);
+  void Load(const std::shared_ptr<ClaimRegistry>& aRegistry, TimePoint aNow);
   // Answers the requests that wait for a registry that is no longer in use.
   void RefuseWaiting(const std::shared_ptr<ClaimRegistry>& aRegistry);
+  void RefuseOverdue(TimePoint aNow);
   void PumpRegistry(const std::shared_ptr<ClaimRegistry>& aRegistry,
                     TimePoint aNow);
   void LogDecision(const std::string& aKey, const ClaimDecision& aDecision);
@@ -110,9 +114,9 @@
   OnceStoreHooks hooks_;
   SlotMap map_;
   std::shared_ptr<ClaimRegistry> registry_;
-  // Set when the store did not answer the load: the carried entries of the
-  // next try.
-  std::optional<std::vector<ClaimEntry>> retryLoad_;
+  // Of the load of registry_; kept for a further try.
+  std::vector<ClaimEntry> carried_;
+  TimePoint nextLoad_{};
   std::unordered_map<std::uint64_t, Waiting> waiting_;
   std::uint64_t lastTicket_ = 0;
   // Expires with this object; answers that come later are dropped.
