Wire host slots and budgets into the entry host

The platform thread runs the slot lease on the store and the peer links and logs each decision (event 6001); the traffic thread checks each keyed request against the customer's budget, refuses with rate-exceeded and a Retry-After from the refill, and exchanges loans with the linked peers. A planned stop releases the slot. Tests wait until hosts have tokens.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -1,8 +1,10 @@
 #include "app/EntryHost.h"
 
+#include "app/BudgetKeeper.h"
 #include "app/HostDirectory.h"
 #include "app/OperatorServer.h"
 #include "app/PlatformReader.h"
+#include "app/SlotKeeper.h"
 #include "app/Snapshots.h"
 #include "app/TrafficHooks.h"
 #include "base/DutyThread.h"
@@ -26,6 +28,10 @@
 // How often a stopping host looks for requests in flight.
 constexpr Duration kDrainCheck = std::chrono::milliseconds(20);
 
+// How long a stopping host waits for the release of its slot. Without it the
+// slot is free after its lease and the guard time.
+constexpr Duration kReleaseLimit = std::chrono::seconds(4);
+
 // How often a leaving host tells its peers so.
 constexpr Duration kLeavingInterval = std::chrono::seconds(1);
 
@@ -55,15 +61,19 @@
   bool Start(Error& aError);
   int Run();
 
+  PeerHello Hello() const;
   PeerOptions MakePeerOptions() const;
   PeerHooks MakePeerHooks();
   RelayHooks MakeRelayHooks();
   PlatformReaderHooks MakePlatformHooks();
+  SlotKeeperHooks MakeSlotHooks();
   CallerServerOptions MakeCallerOptions() const;
   void AddOperatorPaths();
   nlohmann::json Status() const;
   void OnPeerMessage(const PeerHello& aFrom, const PeerMessage& aMessage);
   void PostToTraffic(DutyThread::Task aTask);
+  void PostToPlatform(DutyThread::Task aTask);
+  void ReleaseSlot();
   void StopThreads();
 
   // Graceful shutdown, on the main thread.
@@ -78,6 +88,7 @@
   std::string incarnation_;
   Metrics metrics_;
   Snapshot<Configuration> configuration_;
+  Snapshot<SlotValidity> slot_;
 
   DutyThread traffic_;
   DutyThread peer_;
@@ -86,6 +97,7 @@
 
   // Owned by the traffic thread.
   HostDirectory directory_;
+  BudgetKeeper budgets_;
   TrafficHooks hooks_;
 
   PeerNode peerNode_;
@@ -93,6 +105,8 @@
   RequestPipeline pipeline_;
   CallerServer callers_;
   PlatformReader platformReader_;
+  // Owned by the platform thread.
+  SlotKeeper slotKeeper_;
   OperatorServer operatorServer_;
 
   // The main thread's own loop: signals and the shutdown.
@@ -102,6 +116,7 @@
   boost::asio::steady_timer leavingTimer_;
   bool draining_ = false;
   TimePoint drainEnd_;
+  std::optional<TimePoint> releaseEnd_;
   int exitCode_ = 0;
 };
 
@@ -113,7 +128,13 @@
   , platform_("platform", kRingCapacity)
   , operator_("operator", kRingCapacity)
   , directory_(SelfOf(settings_))
-  , hooks_(settings_, configuration_, directory_)
+  , budgets_(traffic_.Context(),
+             Hello(),
+             metrics_,
+             [this](const std::string& aHost, PeerMessage aMessage) {
+               peerNode_.Send(aHost, std::move(aMessage));
+             })
+  , hooks_(settings_, configuration_, directory_, budgets_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
   , pipeline_(traffic_.Context(), {}, hooks_.Make(), relays_, metrics_)
@@ -125,6 +146,12 @@
   , platformReader_(platform_.Context(),
                     { settings_.store_, settings_.hostList_ },
                     MakePlatformHooks())
+  , slotKeeper_(
+      platform_.Context(),
+      platformReader_.Store(),
+      settings_.region_,
+      { settings_.hostName_, SelfOf(settings_).peersAddress_, incarnation_ },
+      MakeSlotHooks())
   , operatorServer_(operator_.Context(),
                     { settings_.operators_, settings_.operatorToken_ },
                     metrics_)
@@ -140,14 +167,20 @@
   StopThreads();
 }
 
+PeerHello
+EntryHost::Impl::Hello() const
+{
+  return { settings_.hostName_,
+           settings_.region_,
+           settings_.failureDomain_,
+           incarnation_ };
+}
+
 PeerOptions
 EntryHost::Impl::MakePeerOptions() const
 {
   PeerOptions options;
-  options.self_ = { settings_.hostName_,
-                    settings_.region_,
-                    settings_.failureDomain_,
-                    incarnation_ };
+  options.self_ = Hello();
   options.listen_ = settings_.peers_;
   options.token_ = settings_.peerToken_;
   return options;
@@ -158,13 +191,22 @@
 {
   PeerHooks hooks;
   hooks.onMessage_ = [this](const PeerHello& aFrom, PeerMessage aMessage) {
+    if (aMessage.type_ == PeerMessageType::ReachabilityQuery ||
+        aMessage.type_ == PeerMessageType::ReachabilityAnswer) {
+      PostToPlatform([this, aFrom, message = std::move(aMessage)] {
+        slotKeeper_.OnMessage(aFrom, message);
+      });
+      return;
+    }
     PostToTraffic([this, aFrom, message = std::move(aMessage)] {
       OnPeerMessage(aFrom, message);
     });
   };
   hooks.onLink_ = [this](const PeerHello& aPeer, bool aUp) {
+    PostToPlatform([this, aPeer, aUp] { slotKeeper_.OnLink(aPeer, aUp); });
     PostToTraffic([this, aPeer, aUp] {
       hooks_.OnLink(aPeer, aUp);
+      budgets_.OnLink(aPeer, aUp);
       if (!aUp) {
         relays_.OnLinkDown(aPeer);
       }
@@ -192,11 +234,17 @@
   PlatformReaderHooks hooks;
   hooks.onConfiguration_ = [this](ConfigurationPtr aConfiguration) {
     configuration_.Set(aConfiguration);
+    slotKeeper_.SetConfiguration(*aConfiguration);
+    PostToTraffic(
+      [this, aConfiguration] { budgets_.SetConfiguration(*aConfiguration); });
     metrics_
       .Gauge("peridotsail_configuration_version",
              "Configuration version in force on this host.")
       .Set(static_cast<double>(aConfiguration->version_));
   };
+  hooks.onHostsRead_ = [this](const std::vector<ListedHost>& aHosts) {
+    slotKeeper_.SetHosts(aHosts);
+  };
   hooks.onHosts_ = [this](std::vector<ListedHost> aHosts) {
     PostToTraffic([this, hosts = std::move(aHosts)] {
       directory_.SetList(hosts);
@@ -212,6 +260,20 @@
   return hooks;
 }
 
+SlotKeeperHooks
+EntryHost::Impl::MakeSlotHooks()
+{
+  SlotKeeperHooks hooks;
+  hooks.send_ = [this](const std::string& aHost, PeerMessage aMessage) {
+    peerNode_.Send(aHost, std::move(aMessage));
+  };
+  hooks.onValidity_ = [this](const SlotValidity& aValidity) {
+    slot_.Set(std::make_shared<const SlotValidity>(aValidity));
+    PostToTraffic([this, aValidity] { budgets_.SetSlot(aValidity); });
+  };
+  return hooks;
+}
+
 CallerServerOptions
 EntryHost::Impl::MakeCallerOptions() const
 {
@@ -234,7 +296,10 @@
 EntryHost::Impl::Status() const
 {
   const ConfigurationPtr configuration = configuration_.Get();
+  const auto slot = slot_.Get();
+  const bool holds = slot && slot->ValidAt(BootClock::now());
   return { { "host", settings_.hostName_ },
+           { "slot", holds ? slot->index_ : -1 },
            { "region", settings_.region_ },
            { "failure_domain", settings_.failureDomain_ },
            { "incarnation", incarnation_ },
@@ -254,6 +319,10 @@
     case PeerMessageType::RelayEnd:
       relays_.OnMessage(aFrom, aMessage);
       break;
+    case PeerMessageType::TokenRequest:
+    case PeerMessageType::TokenGrant:
+      budgets_.OnMessage(aFrom, aMessage);
+      break;
     case PeerMessageType::HostLeaving:
       directory_.SetLeaving(aFrom.hostName_, BootClock::now());
       break;
@@ -270,6 +339,21 @@
   }
 }
 
+void
+EntryHost::Impl::PostToPlatform(DutyThread::Task aTask)
+{
+  if (!platform_.Post(std::move(aTask))) {
+    LogEvent(Event::RingFull, { { "thread", "platform" } });
+  }
+}
+
+void
+EntryHost::Impl::ReleaseSlot()
+{
+  releaseEnd_ = BootClock::now() + kReleaseLimit;
+  platform_.RunAndWait([this] { slotKeeper_.Release(); });
+}
+
 bool
 EntryHost::Impl::Start(Error& aError)
 {
@@ -279,6 +363,8 @@
     return false;
   }
   platformReader_.Start();
+  slotKeeper_.Start();
+  budgets_.Start();
   traffic_.Start();
   peer_.Start();
   platform_.Start();
@@ -351,6 +437,7 @@
     callers_.CloseConnectionsAfterAnswers();
     callers_.Close();
   });
+  ReleaseSlot();
   WaitForRequests();
 }
 
@@ -362,7 +449,10 @@
     idle = pipeline_.InFlight() == 0 && relays_.InFlight() == 0 &&
            callers_.Connections() == 0;
   });
-  return idle;
+  bool released = BootClock::now() >= *releaseEnd_;
+  platform_.RunAndWait(
+    [&] { released = released || slotKeeper_.IsReleased(); });
+  return idle && released;
 }
 
 void
--- a/src/app/PlatformReader.cc
+++ b/src/app/PlatformReader.cc
@@ -109,6 +109,9 @@
                    { { "detail", aError.detail_ } });
         }
       }
+      if (aHosts) {
+        hooks_.onHostsRead_(*aHosts);
+      }
       if (!aHosts || *aHosts == hosts_) {
         return;
       }
--- a/src/app/PlatformReader.h
+++ b/src/app/PlatformReader.h
@@ -29,6 +29,8 @@
   std::function<void(ConfigurationPtr)> onConfiguration_;
   // The list differs from the one before.
   std::function<void(std::vector<ListedHost>)> onHosts_;
+  // Each list that was read, changed or not.
+  std::function<void(const std::vector<ListedHost>&)> onHostsRead_;
 };
 
 class PlatformReader
--- /dev/null
+++ b/src/app/SlotKeeper.cc
@@ -0,0 +1,366 @@
+#include "app/SlotKeeper.h"
+
+#include "base/EventLog.h"
+#include "base/Hash.h"
+#include "http/BeastTypes.h"
+#include "peer/CborReader.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+
+namespace peridotsail {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kSeenInterval = std::chrono::seconds(1);
+constexpr std::size_t kMaxNameBytes = 100;
+
+PeerMessage
+EncodeQuery(const ReachabilityQuery& aQuery)
+{
+  return { PeerMessageType::ReachabilityQuery,
+           ToCbor({ { "query", aQuery.query_ },
+                    { "region", aQuery.slot_.region_ },
+                    { "slot", aQuery.slot_.number_ },
+                    { "epoch", aQuery.epoch_ } }) };
+}
+
+std::optional<ReachabilityQuery>
+DecodeQuery(const std::string& aBytes)
+{
+  CborReader reader{ std::string_view(aBytes) };
+  ReachabilityQuery query;
+  query.query_ = reader.Unsigned("query");
+  query.slot_.region_ = reader.Text("region", kMaxNameBytes);
+  const std::int64_t number = reader.Signed("slot");
+  query.epoch_ = reader.Unsigned("epoch");
+  if (!reader.Valid() || number < -1 || number > INT32_MAX) {
+    return std::nullopt;
+  }
+  query.slot_.number_ = static_cast<int>(number);
+  return query;
+}
+
+PeerMessage
+EncodeAnswer(const ReachabilityAnswer& aAnswer)
+{
+  const auto quiet =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aAnswer.quiet_);
+  return { PeerMessageType::ReachabilityAnswer,
+           ToCbor({ { "query", aAnswer.query_ },
+                    { "incarnation", aAnswer.incarnation_ },
+                    { "reachable", aAnswer.reachable_ },
+                    { "quiet_ms", static_cast<std::uint64_t>(quiet.count()) },
+                    { "no_outage", aAnswer.noOutageSinceRenewal_ } }) };
+}
+
+std::optional<ReachabilityAnswer>
+DecodeAnswer(const std::string& aBytes)
+{
+  CborReader reader{ std::string_view(aBytes) };
+  ReachabilityAnswer answer;
+  answer.query_ = reader.Unsigned("query");
+  answer.incarnation_ = reader.Text("incarnation", kMaxNameBytes);
+  answer.reachable_ = reader.Flag("reachable");
+  const std::uint64_t quiet = reader.Unsigned("quiet_ms");
+  answer.noOutageSinceRenewal_ = reader.Flag("no_outage");
+  if (!reader.Valid() || quiet > INT32_MAX) {
+    return std::nullopt;
+  }
+  answer.quiet_ = std::chrono::milliseconds(quiet);
+  return answer;
+}
+
+SlotLeaseOptions
+LeaseOptions()
+{
+  SlotLeaseOptions options;
+  options.newId_ = [] { return RandomId(); };
+  return options;
+}
+
+}
+
+SlotLayoutPtr
+LayoutOf(const Configuration& aConfiguration)
+{
+  auto layout = std::make_shared<SlotLayout>();
+  for (const RegionConfig& region : aConfiguration.regions_) {
+    layout->regions_.emplace_back(region.name_, region.slots_);
+  }
+  return layout;
+}
+
+struct SlotKeeper::Impl
+{
+  Impl(boost::asio::io_context& aContext,
+       StoreClient& aStore,
+       const std::string& aRegion,
+       SlotHolder aSelf,
+       SlotKeeperHooks aHooks)
+    : store_(aStore)
+    , hooks_(std::move(aHooks))
+    , self_(aSelf)
+    , lease_(LeaseOptions(), aRegion, std::move(aSelf), BootClock::now())
+    , timer_(aContext)
+  {
+  }
+
+  void Tick()
+  {
+    NoteSeen();
+    Advance();
+    timer_.expires_after(detail::ToSteady(kTick));
+    timer_.async_wait([this](auto aError) {
+      if (!aError) {
+        Tick();
+      }
+    });
+  }
+
+  // Carries out what the lease asks for and publishes what it holds.
+  void Advance()
+  {
+    for (const SlotIntent& intent : lease_.Tick(BootClock::now())) {
+      CarryOut(intent);
+    }
+    for (const SlotDecision& decision : lease_.TakeDecisions()) {
+      LogEvent(Event::SlotDecision,
+               { { "decision", NameOf(decision.kind_) },
+                 { "region", decision.slot_.region_ },
+                 { "slot", decision.slot_.number_ },
+                 { "epoch", decision.epoch_ },
+                 { "reason", decision.reason_ } });
+    }
+    const SlotValidity validity = lease_.Validity();
+    const bool isSame = validity.slot_ == published_.slot_ &&
+                        validity.index_ == published_.index_ &&
+                        validity.totalSlots_ == published_.totalSlots_ &&
+                        validity.epoch_ == published_.epoch_ &&
+                        validity.validUntil_ == published_.validUntil_ &&
+                        validity.outageUntil_ == published_.outageUntil_;
+    if (!isSame) {
+      published_ = validity;
+      hooks_.onValidity_(validity);
+    }
+  }
+
+  void NoteSeen()
+  {
+    const TimePoint now = BootClock::now();
+    if (now - lastSeen_ < kSeenInterval) {
+      return;
+    }
+    lastSeen_ = now;
+    for (const auto& [host, incarnation] : linked_) {
+      // The host with the smaller name opens the link (PeerNode): only then is
+      // the peer known to answer at its address.
+      const auto address = addresses_.find(host);
+      if (self_.host_ < host && address != addresses_.end()) {
+        lease_.OnPeerSeen({ host, address->second, incarnation }, now);
+      }
+    }
+  }
+
+  void Finish(SlotStoreResult aResult)
+  {
+    lease_.OnStoreResult(aResult, BootClock::now());
+    Advance();
+  }
+
+  void CarryOut(const SlotIntent& aIntent)
+  {
+    SlotStoreResult result;
+    result.operation_ = aIntent.operation_;
+    switch (aIntent.kind_) {
+      case SlotIntentKind::ReadTable:
+        ReadTable(aIntent.slot_.region_, result);
+        break;
+      case SlotIntentKind::GrantLease:
+        store_.GrantLease(aIntent.ttl_,
+                          [this, result](auto aLease, const Error&) mutable {
+                            result.lease_ = aLease.value_or(0);
+                            result.outcome_ = aLease ? StoreOutcome::Done
+                                                     : StoreOutcome::Unknown;
+                            Finish(result);
+                          });
+        break;
+      case SlotIntentKind::KeepAlive:
+        store_.KeepAlive(
+          aIntent.lease_, [this, result](auto aSeconds, const Error&) mutable {
+            if (aSeconds) {
+              result.outcome_ =
+                *aSeconds > 0 ? StoreOutcome::Done : StoreOutcome::Refused;
+            }
+            Finish(result);
+          });
+        break;
+      case SlotIntentKind::RevokeLease:
+        store_.RevokeLease(aIntent.lease_,
+                           [this, result](auto aDone, const Error&) mutable {
+                             result.outcome_ = aDone ? StoreOutcome::Done
+                                                     : StoreOutcome::Unknown;
+                             Finish(result);
+                           });
+        break;
+      case SlotIntentKind::Claim:
+      case SlotIntentKind::Rewrite:
+      case SlotIntentKind::Release:
+        Commit(aIntent, result);
+        break;
+      case SlotIntentKind::AskPeers:
+        for (const SlotHolder& peer : aIntent.peers_) {
+          hooks_.send_(peer.host_, EncodeQuery(aIntent.query_));
+        }
+        break;
+    }
+  }
+
+  void ReadTable(const std::string& aRegion, SlotStoreResult aResult)
+  {
+    store_.GetPrefix(
+      SlotTablePrefix(aRegion),
+      [this, aRegion, aResult](auto aRecords, const Error&) mutable {
+        if (aRecords) {
+          std::vector<SlotTableEntry> entries;
+          for (const StoreRecord& record : *aRecords) {
+            entries.push_back(
+              { record.key_, record.value_, record.modRevision_ });
+          }
+          int malformed = 0;
+          aResult.rows_ = ParseSlotTable(aRegion, entries, malformed);
+          aResult.outcome_ = StoreOutcome::Done;
+          if (malformed > 0) {
+            LogEvent(Event::StoreAnswerMalformed, { { "path", "slots" } });
+          }
+        }
+        Finish(std::move(aResult));
+      });
+  }
+
+  void Commit(const SlotIntent& aIntent, SlotStoreResult aResult)
+  {
+    const std::string record = SlotRecordKey(aIntent.slot_);
+    const std::string alive = SlotAliveKey(aIntent.slot_);
+    StoreTransaction transaction;
+    transaction.compares_.push_back({ record, aIntent.compareRevision_ });
+    transaction.puts_.push_back(
+      { record, EncodeSlotRecord(aIntent.record_), 0 });
+    if (aIntent.kind_ == SlotIntentKind::Claim) {
+      transaction.compares_.push_back({ alive, 0 });
+      transaction.puts_.push_back({ alive, "", aIntent.lease_ });
+    } else if (aIntent.kind_ == SlotIntentKind::Rewrite) {
+      transaction.compares_.push_back({ alive, aIntent.compareAlive_ });
+    } else {
+      transaction.deletes_.push_back(alive);
+    }
+    store_.Commit(
+      transaction, [this, aResult](auto aCommit, const Error&) mutable {
+        if (aCommit) {
+          aResult.outcome_ =
+            aCommit->succeeded_ ? StoreOutcome::Done : StoreOutcome::Refused;
+          aResult.revision_ = aCommit->revision_;
+        }
+        Finish(aResult);
+      });
+  }
+
+  StoreClient& store_;
+  SlotKeeperHooks hooks_;
+  SlotHolder self_;
+  SlotLease lease_;
+  boost::asio::steady_timer timer_;
+  SlotValidity published_;
+  // By host name: the incarnation at the other end of the link, and the
+  // listed address of its peer port.
+  std::map<std::string, std::string> linked_;
+  std::map<std::string, std::string> addresses_;
+  TimePoint lastSeen_{};
+};
+
+SlotKeeper::SlotKeeper(boost::asio::io_context& aContext,
+                       StoreClient& aStore,
+                       const std::string& aRegion,
+                       SlotHolder aSelf,
+                       SlotKeeperHooks aHooks)
+  : impl_(std::make_unique<Impl>(aContext,
+                                 aStore,
+                                 aRegion,
+                                 std::move(aSelf),
+                                 std::move(aHooks)))
+{
+}
+
+SlotKeeper::~SlotKeeper() = default;
+
+void
+SlotKeeper::Start()
+{
+  impl_->Tick();
+}
+
+void
+SlotKeeper::SetConfiguration(const Configuration& aConfiguration)
+{
+  impl_->lease_.SetLayout(LayoutOf(aConfiguration), BootClock::now());
+  impl_->Advance();
+}
+
+void
+SlotKeeper::SetHosts(const std::vector<ListedHost>& aHosts)
+{
+  std::set<std::string> names;
+  impl_->addresses_.clear();
+  for (const ListedHost& host : aHosts) {
+    names.insert(host.name_);
+    impl_->addresses_[host.name_] = host.peersAddress_;
+  }
+  impl_->lease_.SetHostList(names, BootClock::now());
+}
+
+void
+SlotKeeper::OnLink(const PeerHello& aPeer, bool aUp)
+{
+  if (aUp) {
+    impl_->linked_[aPeer.hostName_] = aPeer.incarnation_;
+  } else {
+    impl_->linked_.erase(aPeer.hostName_);
+  }
+}
+
+void
+SlotKeeper::OnMessage(const PeerHello& aFrom, const PeerMessage& aMessage)
+{
+  if (aMessage.type_ == PeerMessageType::ReachabilityQuery) {
+    if (const auto query = DecodeQuery(aMessage.payload_)) {
+      impl_->hooks_.send_(
+        aFrom.hostName_,
+        EncodeAnswer(impl_->lease_.OnQuery(*query, BootClock::now())));
+      return;
+    }
+  } else if (const auto answer = DecodeAnswer(aMessage.payload_)) {
+    // The link's own greeting tells who answers, not the message.
+    if (answer->incarnation_ == aFrom.incarnation_) {
+      impl_->lease_.OnAnswer(*answer, BootClock::now());
+      impl_->Advance();
+      return;
+    }
+  }
+  LogEvent(Event::PeerMessageMalformed, { { "peer", aFrom.hostName_ } });
+}
+
+void
+SlotKeeper::Release()
+{
+  impl_->lease_.Release(BootClock::now());
+  impl_->Advance();
+}
+
+bool
+SlotKeeper::IsReleased() const
+{
+  return impl_->lease_.IsReleased();
+}
+
+}
--- a/src/app/TrafficHooks.cc
+++ b/src/app/TrafficHooks.cc
@@ -9,10 +9,12 @@
 
 TrafficHooks::TrafficHooks(const Settings& aSettings,
                            const Snapshot<Configuration>& aConfiguration,
-                           const HostDirectory& aDirectory)
+                           const HostDirectory& aDirectory,
+                           BudgetKeeper& aBudgets)
   : settings_(aSettings)
   , configuration_(aConfiguration)
   , directory_(aDirectory)
+  , budgets_(aBudgets)
   , selector_(aSettings.region_)
 {
 }
@@ -27,8 +29,8 @@
                                Error& aError) {
     return Authenticate(aAuthorization, aError);
   };
-  hooks.admit_ = [](const std::string&) -> std::optional<Refusal> {
-    return std::nullopt;
+  hooks.admit_ = [this](const std::string& aCustomer) {
+    return budgets_.Admit(aCustomer);
   };
   hooks.chooseServer_ =
     [this](const ServerQuery& aQuery,
--- a/src/app/TrafficHooks.h
+++ b/src/app/TrafficHooks.h
@@ -3,6 +3,7 @@
 // The decisions of the traffic thread, as hooks of the request pipeline: which
 // customer, whether within the rate, which region and which backend server.
 
+#include "app/BudgetKeeper.h"
 #include "app/HostDirectory.h"
 #include "app/Settings.h"
 #include "app/Snapshots.h"
@@ -20,7 +21,8 @@
 public:
   TrafficHooks(const Settings& aSettings,
                const Snapshot<Configuration>& aConfiguration,
-               const HostDirectory& aDirectory);
+               const HostDirectory& aDirectory,
+               BudgetKeeper& aBudgets);
 
   PipelineHooks Make();
   // A link to a peer came up or went down.
@@ -41,6 +43,7 @@
   const Settings& settings_;
   const Snapshot<Configuration>& configuration_;
   const HostDirectory& directory_;
+  BudgetKeeper& budgets_;
   ServerSelector selector_;
   std::map<std::string, PeerHello> linked_;
 };
--- a/src/app/testing/EndToEndTest.cc
+++ b/src/app/testing/EndToEndTest.cc
@@ -1,3 +1,4 @@
+#include "base/BootClock.h"
 #include "testing/ProcessGroup.h"
 
 #include <catch2/catch.hpp>
@@ -151,6 +152,37 @@
   CHECK(stopping.process_->Wait() == 0);
 }
 
+// Guards invariant 4 in the running system: hosts claim their slots and refuse
+// what exceeds the customer's rate, counted over both hosts.
+TEST_CASE("requests above the rate are refused on all hosts together")
+{
+  TestSystem system(PERIDOTSAIL_BIN_DIR, kFirstPort + 3 * kPortsPerCase, 1);
+  constexpr double kRate = 1;
+  constexpr double kBurst = 4;
+  system.document_["customers"][0]["rate_per_second"] = kRate;
+  system.document_["customers"][0]["burst"] = kBurst;
+  REQUIRE(system.Start());
+  const TimePoint start = BootClock::now();
+  int admitted = 0;
+  std::optional<HttpResponse> refused;
+  for (int i = 0; i < 1000 && !refused; ++i) {
+    const auto response =
+      CallOnce(system.hosts_[i % 2].callers_, Keyed("GET", "/inbox/1"));
+    REQUIRE(response);
+    if (response->status_ == 200) {
+      ++admitted;
+    } else {
+      refused = response;
+    }
+  }
+  CHECK(admitted <= kBurst + kRate * ToSeconds(BootClock::now() - start));
+  REQUIRE(refused);
+  CHECK(refused->status_ == 429);
+  CHECK(BodyOf(refused)["kind"] == "rate-exceeded");
+  CHECK(BodyOf(refused)["execution"] == "not-run");
+  CHECK(FindHeader(refused->headers_, "Retry-After") != nullptr);
+}
+
 TEST_CASE("a wrong setting ends the process with code 2")
 {
   Process process({ std::string(PERIDOTSAIL_BIN_DIR) + "/peridotsail",
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -47,6 +47,8 @@
   RelayDecision = 5003,
   LookupDecision = 5004,
   RequestFinished = 5005,
+  // 6000: host slots and budgets
+  SlotDecision = 6001,
 };
 
 enum class LogLevel
--- a/src/base/EventTable.cc
+++ b/src/base/EventTable.cc
@@ -108,6 +108,10 @@
     "request-finished",
     Level::Debug,
     "The whole answer was sent to the caller." },
+  { Event::SlotDecision,
+    "slot-decision",
+    Level::Info,
+    "This host claimed, lost or released a host slot, or waits for one." },
 };
 
 }
--- a/src/budget/SlotLease.cc
+++ b/src/budget/SlotLease.cc
@@ -249,14 +249,12 @@
   if (phase_ == Phase::Holding) {
     held_->renewFailed_ = true;
     held_->tableAt_.reset();
-  } else if (phase_ == Phase::Granting) {
-    // The lease may exist; it is bound to no key and ends by itself.
-    BeginSearching(aNow, options_.retryEvery_);
   } else if (phase_ == Phase::Claiming) {
     phase_ = Phase::ReadingBack;
-  } else if (aOperation.kind_ == SlotIntentKind::Release &&
-             ++releaseTries_ >= kReleaseTries) {
-    // The lease ends by itself.
+  } else if (phase_ == Phase::Granting ||
+             (aOperation.kind_ == SlotIntentKind::Release &&
+              ++releaseTries_ >= kReleaseTries)) {
+    // A lease that may exist ends by itself.
     BeginSearching(aNow, options_.retryEvery_);
   }
   next_ = aNow + options_.retryEvery_;
--- a/src/budget/SlotRecord.cc
+++ b/src/budget/SlotRecord.cc
@@ -154,6 +154,7 @@
     }
   }
   std::vector<SlotRow> table;
+  table.reserve(rows.size());
   for (auto& [number, row] : rows) {
     table.push_back(std::move(row));
   }
--- a/src/budget/SlotTakeover.cc
+++ b/src/budget/SlotTakeover.cc
@@ -234,7 +234,7 @@
   if (!best) {
     return false;
   }
-  held_.emplace();
+  held_.emplace(Held{});
   held_->predecessor_ = predecessor;
   held_->row_.slot_ = { region_, best->second };
   const auto found = table_.find(best->second);
--- a/src/budget/testing/World.cc
+++ b/src/budget/testing/World.cc
@@ -239,7 +239,7 @@
 void
 World::Send(Process* aFrom,
             const std::string& aAddress,
-            std::function<void(Process*)> aArrive)
+            const std::function<void(Process*)>& aArrive)
 {
   Process* to = nullptr;
   for (Process* process : hosts_) {
--- a/src/budget/testing/World.h
+++ b/src/budget/testing/World.h
@@ -178,7 +178,7 @@
   // Calls aArrive at the other host, perhaps late, twice or never.
   void Send(Process* aFrom,
             const std::string& aAddress,
-            std::function<void(Process*)> aArrive);
+            const std::function<void(Process*)>& aArrive);
   bool IsCut(const Process& aLeft, const Process& aRight) const;
   Duration Delay(Duration aUsual);
   void UpdateHostList();
--- a/src/testing/ProcessGroup.cc
+++ b/src/testing/ProcessGroup.cc
@@ -224,6 +224,20 @@
   return WaitUntil([&] { return HostsReady(); });
 }
 
+// A bucket starts empty with its slot, so a request right after the start would
+// be refused.
+bool
+TestSystem::HasTokens(const TestHost& aHost) const
+{
+  const std::string name = "peridotsail_budget_tokens{customer=\"school\"} ";
+  const auto response =
+    CallOnce(aHost.operators_, { "GET", "/metrics", {}, "" });
+  const std::size_t position =
+    response ? response->body_.find(name) : std::string::npos;
+  return position != std::string::npos &&
+         std::stod(response->body_.substr(position + name.size())) >= 1;
+}
+
 bool
 TestSystem::HostsReady()
 {
@@ -233,7 +247,7 @@
     }
     const json status = StatusOf(host);
     const bool ready =
-      status.value("config_version", 0) >= version_ &&
+      status.value("config_version", 0) >= version_ && HasTokens(host) &&
       status.value("peers", json::array()).size() + 1 == hosts_.size();
     if (!ready) {
       return false;
--- a/src/testing/ProcessGroup.h
+++ b/src/testing/ProcessGroup.h
@@ -74,8 +74,8 @@
              std::uint16_t aFirstPort,
              int aHostsPerRegion);
 
-  // Starts all processes and waits until each host has the configuration and
-  // its links to peers.
+  // Starts all processes and waits until each host has the configuration,
+  // tokens of the customer and its links to peers.
   bool Start();
   void StartHost(TestHost& aHost);
   void StartBackend(TestBackend& aBackend);
@@ -95,6 +95,7 @@
 private:
   std::string NextAddress();
   bool HostsReady();
+  bool HasTokens(const TestHost& aHost) const;
 
   std::string binDir_;
   std::uint16_t nextPort_;
