Merge host slots and shared budgets into the entry host

The slot lease feeds both the budgets and the at-most-once registry; the new SlotDirectory announces holders to all hosts, and a stopping host releases its slot after its requests in flight.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -1,11 +1,14 @@
 #include "app/EntryHost.h"
 
+#include "app/BudgetKeeper.h"
 #include "app/ConfigurationAgent.h"
 #include "app/ConfigurationApi.h"
 #include "app/HostDirectory.h"
 #include "app/OnceTransport.h"
 #include "app/OperatorServer.h"
 #include "app/PlatformReader.h"
+#include "app/SlotDirectory.h"
+#include "app/SlotKeeper.h"
 #include "app/Snapshots.h"
 #include "app/TrafficHooks.h"
 #include "base/DutyThread.h"
@@ -30,6 +33,10 @@
 // How often a stopping host looks for requests in flight.
 constexpr Duration kDrainCheck = std::chrono::milliseconds(20);
 
+// How long a stopping host waits for the release of its slot. Without it the
+// slot is free after its lease and the guard time.
+constexpr Duration kReleaseLimit = std::chrono::seconds(4);
+
 // How often a leaving host tells its peers so.
 constexpr Duration kLeavingInterval = std::chrono::seconds(1);
 
@@ -81,18 +88,23 @@
   bool Start(Error& aError);
   int Run();
 
+  PeerHello Hello() const;
   PeerOptions MakePeerOptions() const;
   PeerHooks MakePeerHooks();
   RelayHooks MakeRelayHooks();
   PipelineHooks MakePipelineHooks();
   PlatformReaderHooks MakePlatformHooks();
   ConfigurationAgentHooks MakeAgentHooks();
+  SlotKeeperHooks MakeSlotHooks();
+  SlotDirectoryHooks MakeSlotDirectoryHooks();
   CallerServerOptions MakeCallerOptions() const;
   void AddOperatorPaths();
   nlohmann::json Status() const;
   void OnPeerMessage(const PeerHello& aFrom, const PeerMessage& aMessage);
   void PostToAgent(const PeerHello& aFrom, PeerMessage aMessage);
   void PostToTraffic(DutyThread::Task aTask);
+  void PostToPlatform(DutyThread::Task aTask);
+  void ReleaseSlot();
   void StopThreads();
 
   // Graceful shutdown, on the main thread.
@@ -101,6 +113,7 @@
   void StopAccepting();
   void WaitForRequests();
   bool IsIdle();
+  bool IsSlotReleased();
   void End(int aCode);
 
   Settings settings_;
@@ -108,6 +121,7 @@
   Metrics metrics_;
   Snapshot<Configuration> configuration_;
   std::atomic<TimePoint> freshUntil_{ TimePoint::min() };
+  Snapshot<SlotValidity> slot_;
 
   DutyThread traffic_;
   DutyThread peer_;
@@ -116,6 +130,8 @@
 
   // Owned by the traffic thread.
   HostDirectory directory_;
+  BudgetKeeper budgets_;
+  SlotDirectory slotDirectory_;
   TrafficHooks hooks_;
 
   PeerNode peerNode_;
@@ -124,8 +140,9 @@
   CallerServer callers_;
   PlatformReader platformReader_;
   ConfigurationAgent agent_;
-  // Without effect until a source of slot tenures calls SetValidity.
   OnceTransport once_;
+  // Owned by the platform thread.
+  SlotKeeper slotKeeper_;
   OperatorServer operatorServer_;
   ConfigurationApi configurationApi_;
 
@@ -136,6 +153,7 @@
   boost::asio::steady_timer leavingTimer_;
   bool draining_ = false;
   TimePoint drainEnd_;
+  std::optional<TimePoint> releaseEnd_;
   int exitCode_ = 0;
 };
 
@@ -147,7 +165,14 @@
   , platform_("platform", kRingCapacity)
   , operator_("operator", kRingCapacity)
   , directory_(SelfOf(settings_))
-  , hooks_(settings_, configuration_, directory_)
+  , budgets_(traffic_.Context(),
+             Hello(),
+             metrics_,
+             [this](const std::string& aHost, PeerMessage aMessage) {
+               peerNode_.Send(aHost, std::move(aMessage));
+             })
+  , slotDirectory_(traffic_.Context(), Hello(), MakeSlotDirectoryHooks())
+  , hooks_(settings_, configuration_, directory_, budgets_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
   , pipeline_(traffic_.Context(), {}, MakePipelineHooks(), relays_, metrics_)
@@ -165,6 +190,12 @@
            settings_.region_,
            MakeAgentHooks())
   , once_(traffic_, platform_, platformReader_.Store(), incarnation_)
+  , slotKeeper_(
+      platform_.Context(),
+      platformReader_.Store(),
+      settings_.region_,
+      { settings_.hostName_, SelfOf(settings_).peersAddress_, incarnation_ },
+      MakeSlotHooks())
   , operatorServer_(operator_.Context(),
                     { settings_.operators_, settings_.operatorToken_ },
                     metrics_)
@@ -182,14 +213,20 @@
   StopThreads();
 }
 
+PeerHello
+EntryHost::Impl::Hello() const
+{
+  return { settings_.hostName_,
+           settings_.region_,
+           settings_.failureDomain_,
+           incarnation_ };
+}
+
 PeerOptions
 EntryHost::Impl::MakePeerOptions() const
 {
   PeerOptions options;
-  options.self_ = { settings_.hostName_,
-                    settings_.region_,
-                    settings_.failureDomain_,
-                    incarnation_ };
+  options.self_ = Hello();
   options.listen_ = settings_.peers_;
   options.token_ = settings_.peerToken_;
   return options;
@@ -204,13 +241,23 @@
       PostToAgent(aFrom, std::move(aMessage));
       return;
     }
+    if (aMessage.type_ == PeerMessageType::ReachabilityQuery ||
+        aMessage.type_ == PeerMessageType::ReachabilityAnswer) {
+      PostToPlatform([this, aFrom, message = std::move(aMessage)] {
+        slotKeeper_.OnMessage(aFrom, message);
+      });
+      return;
+    }
     PostToTraffic([this, aFrom, message = std::move(aMessage)] {
       OnPeerMessage(aFrom, message);
     });
   };
   hooks.onLink_ = [this](const PeerHello& aPeer, bool aUp) {
+    PostToPlatform([this, aPeer, aUp] { slotKeeper_.OnLink(aPeer, aUp); });
     PostToTraffic([this, aPeer, aUp] {
       hooks_.OnLink(aPeer, aUp);
+      budgets_.OnLink(aPeer, aUp);
+      slotDirectory_.OnLink(aPeer, aUp);
       if (!aUp) {
         relays_.OnLinkDown(aPeer);
       }
@@ -245,6 +292,9 @@
 EntryHost::Impl::MakePlatformHooks()
 {
   PlatformReaderHooks hooks;
+  hooks.onHostsRead_ = [this](const std::vector<ListedHost>& aHosts) {
+    slotKeeper_.SetHosts(aHosts);
+  };
   hooks.onHosts_ = [this](std::vector<ListedHost> aHosts) {
     agent_.SetHosts(LiveHosts(aHosts));
     PostToTraffic([this, hosts = std::move(aHosts)] {
@@ -274,8 +324,12 @@
       [this, state = std::move(aState)] { hooks_.SetKeyState(state); });
   };
   hooks.onConfiguration_ = [this](const SnapshotPtr& aSnapshot) {
-    configuration_.Set(aSnapshot->configuration_);
-    once_.SetConfiguration(aSnapshot->configuration_);
+    const ConfigurationPtr configuration = aSnapshot->configuration_;
+    configuration_.Set(configuration);
+    slotKeeper_.SetConfiguration(*configuration);
+    once_.SetConfiguration(configuration);
+    PostToTraffic(
+      [this, configuration] { budgets_.SetConfiguration(*configuration); });
     metrics_
       .Gauge("peridotsail_configuration_version",
              "Configuration version in force on this host.")
@@ -284,6 +338,39 @@
   return hooks;
 }
 
+SlotKeeperHooks
+EntryHost::Impl::MakeSlotHooks()
+{
+  SlotKeeperHooks hooks;
+  hooks.send_ = [this](const std::string& aHost, PeerMessage aMessage) {
+    peerNode_.Send(aHost, std::move(aMessage));
+  };
+  hooks.onValidity_ = [this](const SlotValidity& aValidity) {
+    slot_.Set(std::make_shared<const SlotValidity>(aValidity));
+    once_.SetValidity(aValidity);
+    PostToTraffic([this, aValidity] {
+      budgets_.SetSlot(aValidity);
+      slotDirectory_.SetSlot(aValidity);
+    });
+  };
+  return hooks;
+}
+
+SlotDirectoryHooks
+EntryHost::Impl::MakeSlotDirectoryHooks()
+{
+  SlotDirectoryHooks hooks;
+  hooks.sendToAll_ = [this](const PeerMessage& aMessage) {
+    for (const std::string& peer : peerNode_.LinkedPeers()) {
+      peerNode_.Send(peer, aMessage);
+    }
+  };
+  hooks.onHolders_ = [this](std::map<std::string, SlotHolderHost> aHolders) {
+    once_.SetHolders(std::move(aHolders));
+  };
+  return hooks;
+}
+
 CallerServerOptions
 EntryHost::Impl::MakeCallerOptions() const
 {
@@ -306,7 +393,10 @@
 EntryHost::Impl::Status() const
 {
   const ConfigurationPtr configuration = configuration_.Get();
+  const auto slot = slot_.Get();
+  const bool holds = slot && slot->ValidAt(BootClock::now());
   return { { "host", settings_.hostName_ },
+           { "slot", holds ? slot->index_ : -1 },
            { "region", settings_.region_ },
            { "failure_domain", settings_.failureDomain_ },
            { "incarnation", incarnation_ },
@@ -327,6 +417,13 @@
     case PeerMessageType::RelayEnd:
       relays_.OnMessage(aFrom, aMessage);
       break;
+    case PeerMessageType::TokenRequest:
+    case PeerMessageType::TokenGrant:
+      budgets_.OnMessage(aFrom, aMessage);
+      break;
+    case PeerMessageType::SlotHeld:
+      slotDirectory_.OnMessage(aFrom, aMessage.payload_);
+      break;
     case PeerMessageType::HostLeaving:
       directory_.SetLeaving(aFrom.hostName_, BootClock::now());
       break;
@@ -355,6 +452,21 @@
   }
 }
 
+void
+EntryHost::Impl::PostToPlatform(DutyThread::Task aTask)
+{
+  if (!platform_.Post(std::move(aTask))) {
+    LogEvent(Event::RingFull, { { "thread", "platform" } });
+  }
+}
+
+void
+EntryHost::Impl::ReleaseSlot()
+{
+  releaseEnd_ = BootClock::now() + kReleaseLimit;
+  platform_.RunAndWait([this] { slotKeeper_.Release(); });
+}
+
 bool
 EntryHost::Impl::Start(Error& aError)
 {
@@ -365,6 +477,9 @@
   }
   platformReader_.Start();
   agent_.Start();
+  slotKeeper_.Start();
+  budgets_.Start();
+  slotDirectory_.Start();
   traffic_.Start();
   peer_.Start();
   platform_.Start();
@@ -457,10 +572,24 @@
   return idle;
 }
 
+// Requests in flight need the slot until they have ended, so it is released
+// after them.
+bool
+EntryHost::Impl::IsSlotReleased()
+{
+  if (!releaseEnd_) {
+    ReleaseSlot();
+  }
+  bool released = BootClock::now() >= *releaseEnd_;
+  platform_.RunAndWait(
+    [&] { released = released || slotKeeper_.IsReleased(); });
+  return released;
+}
+
 void
 EntryHost::Impl::WaitForRequests()
 {
-  if (IsIdle()) {
+  if (IsIdle() && IsSlotReleased()) {
     End(0);
     return;
   }
--- a/src/app/TrafficHooks.h
+++ b/src/app/TrafficHooks.h
@@ -3,6 +3,7 @@
 // The decisions of the traffic thread, as hooks of the request pipeline: which
 // customer, whether within the rate, which region and which backend server.
 
+#include "app/BudgetKeeper.h"
 #include "app/ConfigurationAgent.h"
 #include "app/HostDirectory.h"
 #include "app/Settings.h"
@@ -22,7 +23,8 @@
 public:
   TrafficHooks(const Settings& aSettings,
                const Snapshot<Configuration>& aConfiguration,
-               const HostDirectory& aDirectory);
+               const HostDirectory& aDirectory,
+               BudgetKeeper& aBudgets);
 
   PipelineHooks Make();
   // A link to a peer came up or went down.
@@ -44,6 +46,7 @@
   const Settings& settings_;
   const Snapshot<Configuration>& configuration_;
   const HostDirectory& directory_;
+  BudgetKeeper& budgets_;
   ServerSelector selector_;
   KeyTable keyTable_;
   ConfigurationPtr keysOf_;
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -55,6 +55,8 @@
   SlotInDoubt = 7004,
   OnceDecision = 7005,
   OnceRelayed = 7006,
+  // 6000: host slots and budgets
+  SlotDecision = 6001,
 };
 
 enum class LogLevel
--- a/src/budget/testing/InvariantTest.cc
+++ b/src/budget/testing/InvariantTest.cc
@@ -90,8 +90,12 @@
     default:
       if (aWithChanges) {
         ChangeLimits(aWorld, aOptions);
-      } else if (Process* process = aWorld.On(host); process != nullptr) {
-        process->lease_->Release(TimePoint::min());
+      } else {
+        aWorld.Release(host);
+        aWorld.At(end, [&aWorld, host] {
+          aWorld.Kill(host);
+          aWorld.Replace(host);
+        });
       }
   }
 }
@@ -169,7 +173,7 @@
   // A larger number can be set for a long run by hand.
   const char* setting = std::getenv("PERIDOTSAIL_SCHEDULES");
   const unsigned schedules =
-    setting == nullptr ? 1200 : static_cast<unsigned>(std::atoi(setting));
+    setting == nullptr ? 600 : static_cast<unsigned>(std::atoi(setting));
   Totals totals;
   for (unsigned seed = 0; seed < schedules; ++seed) {
     const std::string violation = RunSchedule(seed, totals);
--- a/src/budget/testing/World.cc
+++ b/src/budget/testing/World.cc
@@ -239,7 +239,7 @@
 void
 World::Send(Process* aFrom,
             const std::string& aAddress,
-            std::function<void(Process*)> aArrive)
+            const std::function<void(Process*)>& aArrive)
 {
   Process* to = nullptr;
   for (Process* process : hosts_) {
@@ -483,6 +483,16 @@
   }
 }
 
+void
+World::Release(std::size_t aHost)
+{
+  Process* process = hosts_[aHost];
+  if (process != nullptr && !process->paused_) {
+    process->lease_->Release(Local(*process));
+    AfterLease(*process);
+  }
+}
+
 void
 World::SetStoreDown(bool aDown)
 {
--- a/src/peer/PeerMessage.cc
+++ b/src/peer/PeerMessage.cc
@@ -29,6 +29,7 @@
     case PeerMessageType::QuarantineNotice:
     case PeerMessageType::ServerSuspicion:
     case PeerMessageType::HostLeaving:
+    case PeerMessageType::SlotHeld:
       return aType <= UINT16_MAX;
   }
   return false;
--- a/src/peer/PeerMessage.h
+++ b/src/peer/PeerMessage.h
@@ -30,6 +30,7 @@
   QuarantineNotice = 50,
   ServerSuspicion = 51,
   HostLeaving = 60,
+  SlotHeld = 61,
 };
 
 // The largest encoded message, in bytes.
