Test at-most-once execution on the data path

Cause: the claim path of the pipeline had no test. Change: a case of proxy_test in which a host holds the only slot: a repeated order is answered from its claim, a changed body is refused, an order cut by its backend server is answered outcome-unknown and does not run again. The recorded content type is found whatever its case.

--- a/src/proxy/BufferedRequest.cc
+++ b/src/proxy/BufferedRequest.cc
@@ -77,11 +77,8 @@
 {
   headSent_ = true;
   outcome_.status_ = aHead.status_;
-  for (const auto& [name, value] : aHead.headers_) {
-    if (name == "Content-Type") {
-      outcome_.contentType_ = value;
-    }
-  }
+  const std::string* type = FindHeader(aHead.headers_, "Content-Type");
+  outcome_.contentType_ = type == nullptr ? "" : *type;
   if (callerGone_) {
     boost::asio::post(
       context_, [callback = GoOn(std::move(aCallback))] { callback(false); });
--- a/src/proxy/testing/ProxyTest.cc
+++ b/src/proxy/testing/ProxyTest.cc
@@ -4,6 +4,7 @@
 #include "proxy/RequestPipeline.h"
 #include "proxy/ServerSelector.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -137,9 +138,39 @@
     hooks.mayRetry_ = [](const ServerQuery&, const ExchangeResult&) {
       return true;
     };
+    hooks.once_ = [this] { return once_.get(); };
     return hooks;
   }
 
+  // Makes this host the holder of the only slot, with a store that takes each
+  // write.
+  void HoldSlot()
+  {
+    OnceStoreHooks store;
+    store.perform_ = [this](const SlotTenure&,
+                            const StoreOperation& aOperation,
+                            const OnceStoreHooks::Answer& aAnswer) {
+      const std::uint64_t id = aOperation.id_;
+      boost::asio::post(context_, [aAnswer, id] {
+        aAnswer({ id, StoreAnswerKind::Written, "" });
+      });
+    };
+    store.load_ = [](const std::string&,
+                     const OnceStoreHooks::Loaded& aLoaded) {
+      aLoaded(std::vector<LoadedRecord>());
+    };
+    ClaimRegistryOptions options;
+    options.commit_.minimumInterval_ = Duration::zero();
+    once_ = std::make_unique<OnceService>(options, store);
+    SlotTenure tenure;
+    tenure.slot_ = "north/0";
+    tenure.epoch_ = 1;
+    tenure.validUntil_ = BootClock::now() + std::chrono::hours(1);
+    tenure.predecessorMayHaveContinued_ = false;
+    once_->SetSlots({ "north/0" }, BootClock::now());
+    once_->SetTenure(tenure, false, BootClock::now());
+  }
+
   HttpResponse Call(HttpRequest aRequest)
   {
     std::optional<HttpResponse> response;
@@ -161,6 +192,7 @@
   // Outlives the handlers that the io_context still holds at its end.
   Metrics metrics_;
   boost::asio::io_context context_;
+  std::unique_ptr<OnceService> once_;
   std::vector<HttpRequest> seen_[2];
   std::string behaviour_[2];
   // Replies that are never given.
@@ -291,6 +323,33 @@
   }
 }
 
+// Guards invariant 7 on the data path: a repeated request is answered from the
+// claim, a cut one is not run again, and one that was not run may be.
+TEST_CASE("a non-idempotent request runs once and is answered again")
+{
+  Fixture host;
+  host.HoldSlot();
+  const auto order = [&](const char* aKey, const char* aBody) {
+    return host.Call(
+      MakeRequest("POST", "/order", { { "Idempotency-Key", aKey } }, aBody));
+  };
+  const auto runs = [&] { return host.seen_[0].size() + host.seen_[1].size(); };
+  CHECK(order("k1", "stamp").body_ == "stamp!");
+  const HttpResponse again = order("k1", "stamp");
+  CHECK(again.status_ == 200);
+  CHECK(again.body_ == "stamp!");
+  CHECK(*FindHeader(again.headers_, "Execution-State") == "complete");
+  CHECK(order("k1", "other").status_ == 422);
+  CHECK(runs() == 1);
+
+  host.behaviour_[0] = host.behaviour_[1] = "die";
+  CHECK(order("k2", "stamp").status_ == 502);
+  const HttpResponse cut = order("k2", "stamp");
+  CHECK(cut.status_ == 409);
+  CHECK(nlohmann::json::parse(cut.body_)["kind"] == "outcome-unknown");
+  CHECK(runs() == 2);
+}
+
 TEST_CASE("with no backend server the answer is not-run")
 {
   Fixture host;
