Wire the decisions about backend servers into the request path

Cause: the first version chose the server with the fewest own requests, had no queue, budget, probes or quarantine, and blamed the server for a caller's stall. Change: BackendDispatcher joins choice, queue, retry budget, quarantine and probes; pools' host lists are read; quarantine notices go to peers; ConnectionHealth decides about stalled connections; TCP_USER_TIMEOUT and keep-alive on backend connections. Result: proxy_test and base_test pass in a build without sanitizers. The sanitizer build and the linter were not run on this commit; BackendDispatcher has no test of its own.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -86,6 +86,7 @@
 
   // Owned by the traffic thread.
   HostDirectory directory_;
+  BackendDispatcher backends_;
   TrafficHooks hooks_;
 
   PeerNode peerNode_;
@@ -113,7 +114,16 @@
   , platform_("platform", kRingCapacity)
   , operator_("operator", kRingCapacity)
   , directory_(SelfOf(settings_))
-  , hooks_(settings_, configuration_, directory_)
+  , backends_(
+      traffic_.Context(),
+      { settings_.region_ },
+      metrics_,
+      [this](const std::string& aNotice) {
+        for (const std::string& peer : peerNode_.LinkedPeers()) {
+          peerNode_.Send(peer, { PeerMessageType::QuarantineNotice, aNotice });
+        }
+      })
+  , hooks_(settings_, configuration_, directory_, backends_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
   , pipeline_(traffic_.Context(), {}, hooks_.Make(), relays_, metrics_)
@@ -192,6 +202,8 @@
   PlatformReaderHooks hooks;
   hooks.onConfiguration_ = [this](ConfigurationPtr aConfiguration) {
     configuration_.Set(aConfiguration);
+    PostToTraffic(
+      [this, aConfiguration] { backends_.SetConfiguration(aConfiguration); });
     metrics_
       .Gauge("peridotsail_configuration_version",
              "Configuration version in force on this host.")
@@ -209,6 +221,12 @@
       peerNode_.SetPeers(std::move(peers));
     });
   };
+  hooks.onLeavingServers_ = [this](const std::string& aPool,
+                                   std::set<std::string> aServers) {
+    PostToTraffic([this, aPool, servers = std::move(aServers)] {
+      backends_.SetLeaving(aPool, servers);
+    });
+  };
   return hooks;
 }
 
@@ -254,6 +272,9 @@
     case PeerMessageType::RelayEnd:
       relays_.OnMessage(aFrom, aMessage);
       break;
+    case PeerMessageType::QuarantineNotice:
+      backends_.OnNotice(aMessage.payload_);
+      break;
     case PeerMessageType::HostLeaving:
       directory_.SetLeaving(aFrom.hostName_, BootClock::now());
       break;
--- a/src/app/PlatformReader.cc
+++ b/src/app/PlatformReader.cc
@@ -6,6 +6,7 @@
 #include "http/BeastTypes.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 
 namespace peridotsail {
 
@@ -26,6 +27,9 @@
   {
     ReadConfiguration();
     ReadHosts();
+    for (auto& entry : pools_) {
+      ReadPool(entry.first, entry.second);
+    }
     timer_.expires_after(detail::ToSteady(options_.interval_));
     timer_.async_wait([this](auto aError) {
       if (!aError) {
@@ -90,6 +94,10 @@
     version_ = envelope->version_;
     parsed->version_ = version_;
     LogEvent(Event::ConfigurationInForce, { { "version", version_ } });
+    // Entries of removed pools stay, because a read may be under way.
+    for (const PoolConfig& pool : parsed->pools_) {
+      pools_.try_emplace(pool.name_);
+    }
     hooks_.onConfiguration_(
       std::make_shared<const Configuration>(std::move(*parsed)));
   }
@@ -118,6 +126,36 @@
     });
   }
 
+  struct ListedPool
+  {
+    bool reading_ = false;
+    std::set<std::string> leaving_;
+  };
+
+  void ReadPool(const std::string& aName, ListedPool& aPool)
+  {
+    if (aPool.reading_) {
+      return;
+    }
+    aPool.reading_ = true;
+    hostList_.Read(aName, [this, aName, &aPool](auto aServers, const Error&) {
+      aPool.reading_ = false;
+      if (!aServers) {
+        return;
+      }
+      std::set<std::string> leaving;
+      for (const ListedHost& server : *aServers) {
+        if (server.leaving_) {
+          leaving.insert(server.name_);
+        }
+      }
+      if (leaving != aPool.leaving_) {
+        aPool.leaving_ = leaving;
+        hooks_.onLeavingServers_(aName, std::move(leaving));
+      }
+    });
+  }
+
   PlatformReaderOptions options_;
   PlatformReaderHooks hooks_;
   StoreClient store_;
@@ -130,6 +168,7 @@
   std::int64_t lastRevision_ = 0;
   std::int64_t version_ = 0;
   std::vector<ListedHost> hosts_;
+  std::map<std::string, ListedPool> pools_;
 };
 
 PlatformReader::PlatformReader(boost::asio::io_context& aContext,
--- a/src/app/PlatformReader.h
+++ b/src/app/PlatformReader.h
@@ -11,6 +11,8 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace peridotsail {
@@ -29,6 +31,10 @@
   std::function<void(ConfigurationPtr)> onConfiguration_;
   // The list differs from the one before.
   std::function<void(std::vector<ListedHost>)> onHosts_;
+  // The backend servers that the list of a pool shows as leaving differ from
+  // those before.
+  std::function<void(const std::string& aPool, std::set<std::string>)>
+    onLeavingServers_;
 };
 
 class PlatformReader
--- a/src/app/TrafficHooks.cc
+++ b/src/app/TrafficHooks.cc
@@ -7,13 +7,48 @@
 
 namespace peridotsail {
 
+namespace {
+
+BackendRequest
+ToBackendRequest(const ServerQuery& aQuery)
+{
+  return { aQuery.route_->pool_, aQuery.customer_, aQuery.fingerprint_,
+           aQuery.deadline_,     aQuery.tried_,    aQuery.shed_ };
+}
+
+AttemptOutcome
+OutcomeOf(const ExchangeResult& aResult)
+{
+  if (!aResult.error_) {
+    return AttemptOutcome::Completed;
+  }
+  if (aResult.callerGone_ || aResult.silentSince_) {
+    return AttemptOutcome::Cancelled;
+  }
+  if (aResult.connectFailed_) {
+    return AttemptOutcome::ConnectFailed;
+  }
+  if (aResult.shed_) {
+    return AttemptOutcome::Shed;
+  }
+  if (aResult.connectionDied_) {
+    return AttemptOutcome::Reset;
+  }
+  return aResult.error_->kind_ == ErrorKind::DeadlineExceeded
+           ? AttemptOutcome::TimedOut
+           : AttemptOutcome::Cancelled;
+}
+
+}
+
 TrafficHooks::TrafficHooks(const Settings& aSettings,
                            const Snapshot<Configuration>& aConfiguration,
-                           const HostDirectory& aDirectory)
+                           const HostDirectory& aDirectory,
+                           BackendDispatcher& aBackends)
   : settings_(aSettings)
   , configuration_(aConfiguration)
   , directory_(aDirectory)
-  , selector_(aSettings.region_)
+  , backends_(aBackends)
 {
 }
 
@@ -35,15 +70,19 @@
            const std::function<void(ServerChoice)>& aCallback) {
       ChooseServer(aQuery, aCallback);
     };
-  hooks.onExchange_ = [this](const BackendServerConfig& aServer,
+  hooks.onExchange_ = [this](const ServerQuery& aQuery,
+                             const BackendServerConfig& aServer,
                              const ExchangeResult& aResult) {
-    selector_.OnExchange(aServer, aResult, BootClock::now());
+    OnExchange(aQuery, aServer, aResult);
   };
   hooks.chooseRelay_ = [this](const ServerQuery& aQuery) {
     return ChooseRelay(aQuery);
   };
-  hooks.mayRetry_ = [](const ServerQuery&, const ExchangeResult&) {
-    return true;
+  hooks.mayRetry_ = [this](const ServerQuery& aQuery, const ExchangeResult&) {
+    return backends_.MayRetry(ToBackendRequest(aQuery));
+  };
+  hooks.responseLimit_ = [this](const ServerQuery& aQuery) {
+    return backends_.ResponseLimit(ToBackendRequest(aQuery));
   };
   return hooks;
 }
@@ -56,6 +95,16 @@
   } else {
     linked_.erase(aPeer.hostName_);
   }
+  // The slots of backend servers are divided between the hosts of the region.
+  int rank = 0;
+  int count = 1;
+  for (const auto& [name, peer] : linked_) {
+    if (peer.region_ == settings_.region_) {
+      ++count;
+      rank += name < settings_.hostName_ ? 1 : 0;
+    }
+  }
+  backends_.SetHosts(rank, count);
 }
 
 std::string
@@ -106,13 +155,28 @@
 TrafficHooks::ChooseServer(const ServerQuery& aQuery,
                            const std::function<void(ServerChoice)>& aCallback)
 {
-  ServerChoice choice;
-  choice.server_ = selector_.Choose(*aQuery.configuration_,
-                                    aQuery.route_->pool_,
-                                    aQuery.tried_,
-                                    BootClock::now());
-  choice.refusal_ = MakeRefusal(ErrorKind::NoBackendServer);
-  aCallback(choice);
+  backends_.SetConfiguration(aQuery.configuration_);
+  backends_.Choose(
+    ToBackendRequest(aQuery), [aCallback](const BackendDecision& aDecision) {
+      ServerChoice choice;
+      choice.server_ = aDecision.server_;
+      choice.refusal_ = MakeRefusal(aDecision.refusal_);
+      choice.refusal_.execution_ = ExecutionState::NotRun;
+      choice.refusal_.retryAfterSeconds_ = aDecision.retryAfterSeconds_;
+      aCallback(choice);
+    });
+}
+
+void
+TrafficHooks::OnExchange(const ServerQuery& aQuery,
+                         const BackendServerConfig& aServer,
+                         const ExchangeResult& aResult)
+{
+  BackendOutcome outcome;
+  outcome.time_ = BootClock::now() - aQuery.chosenAt_;
+  outcome.silent_ = aResult.silentSince_.has_value();
+  outcome.outcome_ = OutcomeOf(aResult);
+  backends_.OnOutcome(ToBackendRequest(aQuery), aServer.name_, outcome);
 }
 
 bool
@@ -137,7 +201,8 @@
 {
   const Configuration& configuration = *aQuery.configuration_;
   const std::string& pool = aQuery.route_->pool_;
-  if (selector_.HasServer(configuration, pool, BootClock::now())) {
+  backends_.SetConfiguration(aQuery.configuration_);
+  if (backends_.HasServer(pool)) {
     return std::nullopt;
   }
   for (const auto& [name, peer] : linked_) {
--- a/src/app/TrafficHooks.h
+++ b/src/app/TrafficHooks.h
@@ -6,9 +6,9 @@
 #include "app/HostDirectory.h"
 #include "app/Settings.h"
 #include "app/Snapshots.h"
+#include "backend/BackendDispatcher.h"
 #include "peer/PeerMessage.h"
 #include "proxy/RequestPipeline.h"
-#include "proxy/ServerSelector.h"
 
 #include <map>
 #include <string>
@@ -20,7 +20,8 @@
 public:
   TrafficHooks(const Settings& aSettings,
                const Snapshot<Configuration>& aConfiguration,
-               const HostDirectory& aDirectory);
+               const HostDirectory& aDirectory,
+               BackendDispatcher& aBackends);
 
   PipelineHooks Make();
   // A link to a peer came up or went down.
@@ -32,6 +33,9 @@
                                           Error& aError) const;
   void ChooseServer(const ServerQuery& aQuery,
                     const std::function<void(ServerChoice)>& aCallback);
+  void OnExchange(const ServerQuery& aQuery,
+                  const BackendServerConfig& aServer,
+                  const ExchangeResult& aResult);
   std::optional<RelayTarget> ChooseRelay(const ServerQuery& aQuery) const;
   // Whether another region has a backend server of the pool.
   static bool RegionHasPool(const Configuration& aConfiguration,
@@ -41,7 +45,7 @@
   const Settings& settings_;
   const Snapshot<Configuration>& configuration_;
   const HostDirectory& directory_;
-  ServerSelector selector_;
+  BackendDispatcher& backends_;
   std::map<std::string, PeerHello> linked_;
 };
 
--- /dev/null
+++ b/src/backend/BackendDispatcher.cc
@@ -0,0 +1,632 @@
+#include "backend/BackendDispatcher.h"
+
+#include "backend/ConnectionHealth.h"
+#include "backend/FairQueue.h"
+#include "backend/Quarantine.h"
+#include "backend/RetryBudget.h"
+#include "base/EventLog.h"
+#include "http/BeastTypes.h"
+#include "http/HttpClient.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+
+namespace peridotsail {
+
+struct BackendDispatcher::Impl : public std::enable_shared_from_this<Impl>
+{
+  using Callback = std::function<void(const BackendDecision&)>;
+
+  struct Pool
+  {
+    explicit Pool(std::uint64_t aSeed)
+      : pool_(BackendPoolOptions{}, aSeed)
+    {
+    }
+    BackendPool pool_;
+    FairQueue queue_;
+    RetryBudget budget_;
+    ResponseTimeLimit limit_;
+    PoolConfig config_;
+    std::map<std::string, BackendServerConfig> servers_;
+    std::set<std::string> listedLeaving_;
+    std::map<std::string, std::string> states_;
+  };
+
+  struct Waiting
+  {
+    BackendRequest request_;
+    Callback callback_;
+    // Waits for a quarantine decision and not in a queue.
+    bool held_ = false;
+  };
+
+  Impl(boost::asio::io_context& aContext,
+       BackendDispatcherOptions aOptions,
+       Metrics& aMetrics,
+       std::function<void(std::string)> aSendNotice)
+    : context_(aContext)
+    , options_(std::move(aOptions))
+    , sendNotice_(std::move(aSendNotice))
+    , client_(aContext, {})
+    , probeTimer_(aContext)
+    , queueTimer_(aContext)
+    , shed_(aMetrics.Counter("peridotsail_backend_shed_total",
+                             "Requests that backend servers shed."))
+    , retries_(aMetrics.Counter("peridotsail_backend_retries_total",
+                                "Further attempts after a failure."))
+    , quarantined_(aMetrics.Counter("peridotsail_quarantine_refused_total",
+                                    "Requests refused by the quarantine."))
+    , waitingGauge_(aMetrics.Gauge("peridotsail_backend_waiting",
+                                   "Requests that wait for a backend server."))
+  {
+  }
+
+  void Configure(Pool& aPool, const PoolConfig& aConfig, TimePoint aNow);
+  void Choose(BackendRequest aRequest, Callback aCallback);
+  // False when the request was refused or is held.
+  bool PassesQuarantine(BackendRequest& aRequest, Callback& aCallback);
+  bool Dispatch(const BackendRequest& aRequest, const Callback& aCallback);
+  void Enqueue(Pool& aPool, BackendRequest aRequest, Callback aCallback);
+  void Refuse(const std::vector<QueueRefusal>& aRefused);
+  void DrainQueue(Pool& aPool);
+  void CheckHeld();
+  void ArmQueueTimer();
+  void ArmProbeTimer();
+  void ProbeAll();
+  void ProbeHealth(const std::string& aPool,
+                   const BackendServerConfig& aServer);
+  void ReadLoad(const std::string& aPool, const BackendServerConfig& aServer);
+  // Tries to open a connection, which tells a dead server from a slow one.
+  void CheckConnection(const std::string& aPool,
+                       const BackendServerConfig& aServer,
+                       std::optional<ProbeResult> aWhenOpen);
+  // Without a result the server accepts connections and nothing else is known.
+  void OnChecked(const std::string& aPool,
+                 const std::string& aServer,
+                 std::optional<ProbeResult> aResult,
+                 TimePoint aBegun);
+  void LogStates(Pool& aPool);
+
+  boost::asio::io_context& context_;
+  BackendDispatcherOptions options_;
+  std::function<void(std::string)> sendNotice_;
+  HttpClient client_;
+  boost::asio::steady_timer probeTimer_;
+  boost::asio::steady_timer queueTimer_;
+  MetricCounter& shed_;
+  MetricCounter& retries_;
+  MetricCounter& quarantined_;
+  MetricGauge& waitingGauge_;
+  ConfigurationPtr configuration_;
+  std::map<std::string, Pool> pools_;
+  Quarantine quarantine_;
+  std::map<std::uint64_t, Waiting> waiting_;
+  std::uint64_t lastId_ = 0;
+  int hostRank_ = 0;
+  int hostCount_ = 1;
+  bool queueTimerArmed_ = false;
+  bool probing_ = false;
+};
+
+void
+BackendDispatcher::Impl::Configure(Pool& aPool,
+                                   const PoolConfig& aConfig,
+                                   TimePoint aNow)
+{
+  aPool.config_ = aConfig;
+  aPool.servers_.clear();
+  std::vector<BackendServerConfig> servers;
+  std::set<std::string> leaving = aPool.listedLeaving_;
+  const bool regionDrains =
+    configuration_->IsDraining(DrainKind::Region, options_.region_);
+  for (const BackendServerConfig& server : configuration_->backendServers_) {
+    if (server.pool_ != aConfig.name_ || server.region_ != options_.region_) {
+      continue;
+    }
+    servers.push_back(server);
+    aPool.servers_[server.name_] = server;
+    if (regionDrains ||
+        configuration_->IsDraining(DrainKind::BackendServer, server.name_)) {
+      leaving.insert(server.name_);
+    }
+  }
+  aPool.pool_.SetServers(aConfig.warmUp_, servers, leaving, aNow);
+  aPool.pool_.SetHosts(hostRank_, hostCount_);
+  LogStates(aPool);
+}
+
+void
+BackendDispatcher::Impl::Choose(BackendRequest aRequest, Callback aCallback)
+{
+  const TimePoint now = BootClock::now();
+  const auto it = pools_.find(aRequest.pool_);
+  if (it == pools_.end() || !it->second.pool_.HasServerInUse(now)) {
+    aCallback({ std::nullopt, ErrorKind::NoBackendServer, 2 });
+    return;
+  }
+  Pool& pool = it->second;
+  if (!PassesQuarantine(aRequest, aCallback)) {
+    return;
+  }
+  if (aRequest.tried_.empty()) {
+    pool.budget_.RecordRequest(now);
+  }
+  const bool mayTry =
+    aRequest.shed_ ? pool.budget_.TryTake(now) : pool.queue_.size() == 0;
+  if (!mayTry || !Dispatch(aRequest, aCallback)) {
+    Enqueue(pool, std::move(aRequest), std::move(aCallback));
+  }
+}
+
+bool
+BackendDispatcher::Impl::PassesQuarantine(BackendRequest& aRequest,
+                                          Callback& aCallback)
+{
+  switch (quarantine_.Check(aRequest.fingerprint_, BootClock::now())) {
+    case QuarantineVerdict::Run:
+      return true;
+    case QuarantineVerdict::Wait:
+      waiting_[++lastId_] = { std::move(aRequest), std::move(aCallback), true };
+      ArmQueueTimer();
+      return false;
+    case QuarantineVerdict::Refuse:
+      break;
+  }
+  quarantined_.Add(1);
+  aCallback({ std::nullopt, ErrorKind::RequestQuarantined, 0 });
+  return false;
+}
+
+bool
+BackendDispatcher::Impl::Dispatch(const BackendRequest& aRequest,
+                                  const Callback& aCallback)
+{
+  Pool& pool = pools_.at(aRequest.pool_);
+  const auto name = pool.pool_.Acquire(BootClock::now(), aRequest.tried_);
+  if (!name) {
+    return false;
+  }
+  quarantine_.Started(aRequest.fingerprint_);
+  aCallback({ pool.servers_.at(*name), ErrorKind::NoBackendServer, 0 });
+  return true;
+}
+
+void
+BackendDispatcher::Impl::Enqueue(Pool& aPool,
+                                 BackendRequest aRequest,
+                                 Callback aCallback)
+{
+  const TimePoint now = BootClock::now();
+  const QueuedRequest queued{ ++lastId_,
+                              aRequest.customer_,
+                              aRequest.deadline_ };
+  const bool shed = aRequest.shed_;
+  waiting_[queued.id_] = { std::move(aRequest), std::move(aCallback), false };
+  std::vector<QueueRefusal> refused;
+  if (shed) {
+    aPool.queue_.PushFront(queued);
+  } else {
+    aPool.queue_.Push(queued, aPool.pool_.SlotsInUse(now), now, refused);
+  }
+  Refuse(refused);
+  ArmQueueTimer();
+}
+
+void
+BackendDispatcher::Impl::Refuse(const std::vector<QueueRefusal>& aRefused)
+{
+  for (const QueueRefusal& refusal : aRefused) {
+    auto node = waiting_.extract(refusal.id_);
+    if (!node.empty()) {
+      node.mapped().callback_(
+        { std::nullopt, refusal.kind_, refusal.retryAfterSeconds_ });
+    }
+  }
+}
+
+void
+BackendDispatcher::Impl::DrainQueue(Pool& aPool)
+{
+  const TimePoint now = BootClock::now();
+  std::vector<QueueRefusal> refused;
+  aPool.queue_.Expire(now, refused);
+  const bool inUse = aPool.pool_.HasServerInUse(now);
+  while (aPool.queue_.size() > 0 && (!inUse || aPool.pool_.HasFreeSlot(now))) {
+    const auto id = aPool.queue_.Pop(now, refused);
+    if (!id) {
+      break;
+    }
+    if (!inUse) {
+      refused.push_back({ *id, ErrorKind::NoBackendServer, 2 });
+      continue;
+    }
+    auto node = waiting_.extract(*id);
+    Waiting& waiting = node.mapped();
+    // The fingerprint may have become suspect while the request waited.
+    if (PassesQuarantine(waiting.request_, waiting.callback_) &&
+        !Dispatch(waiting.request_, waiting.callback_)) {
+      aPool.queue_.PushFront(
+        { *id, waiting.request_.customer_, waiting.request_.deadline_ });
+      waiting_.insert(std::move(node));
+      break;
+    }
+  }
+  Refuse(refused);
+}
+
+void
+BackendDispatcher::Impl::CheckHeld()
+{
+  const TimePoint now = BootClock::now();
+  std::vector<std::uint64_t> ready;
+  for (const auto& [id, waiting] : waiting_) {
+    const bool late = now >= waiting.request_.deadline_;
+    if (waiting.held_ &&
+        (late || quarantine_.Check(waiting.request_.fingerprint_, now) !=
+                   QuarantineVerdict::Wait)) {
+      ready.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : ready) {
+    auto node = waiting_.extract(id);
+    Waiting& waiting = node.mapped();
+    if (now >= waiting.request_.deadline_) {
+      waiting.callback_({ std::nullopt, ErrorKind::DeadlineExceeded, 1 });
+    } else {
+      Choose(std::move(waiting.request_), std::move(waiting.callback_));
+    }
+  }
+}
+
+void
+BackendDispatcher::Impl::ArmQueueTimer()
+{
+  waitingGauge_.Set(static_cast<double>(waiting_.size()));
+  if (queueTimerArmed_ || waiting_.empty()) {
+    return;
+  }
+  queueTimerArmed_ = true;
+  queueTimer_.expires_after(detail::ToSteady(options_.queueInterval_));
+  queueTimer_.async_wait([weak = weak_from_this()](auto aError) {
+    const auto self = weak.lock();
+    if (aError || !self) {
+      return;
+    }
+    self->queueTimerArmed_ = false;
+    self->CheckHeld();
+    for (auto& entry : self->pools_) {
+      self->DrainQueue(entry.second);
+    }
+    self->ArmQueueTimer();
+  });
+}
+
+void
+BackendDispatcher::Impl::ArmProbeTimer()
+{
+  probing_ = true;
+  probeTimer_.expires_after(detail::ToSteady(options_.probeInterval_));
+  probeTimer_.async_wait([weak = weak_from_this()](auto aError) {
+    const auto self = weak.lock();
+    if (!aError && self) {
+      self->ProbeAll();
+      self->ArmProbeTimer();
+    }
+  });
+}
+
+void
+BackendDispatcher::Impl::ProbeAll()
+{
+  for (auto& [name, pool] : pools_) {
+    for (const auto& entry : pool.servers_) {
+      ProbeHealth(name, entry.second);
+      ReadLoad(name, entry.second);
+    }
+    LogStates(pool);
+  }
+}
+
+void
+BackendDispatcher::Impl::ProbeHealth(const std::string& aPool,
+                                     const BackendServerConfig& aServer)
+{
+  const auto address = ParseAddress(aServer.address_);
+  if (!address) {
+    return;
+  }
+  client_.Call(
+    *address,
+    { "GET", pools_.at(aPool).config_.healthPath_, {}, "" },
+    options_.probeTimeout_,
+    [weak = weak_from_this(), aPool, aServer, begun = BootClock::now()](
+      auto aResponse, const Error&) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      if (aResponse) {
+        self->OnChecked(aPool,
+                        aServer.name_,
+                        aResponse->status_ == 200 ? ProbeResult::Passed
+                                                  : ProbeResult::Failed,
+                        begun);
+      } else {
+        self->CheckConnection(aPool, aServer, ProbeResult::TimedOut);
+      }
+    });
+}
+
+void
+BackendDispatcher::Impl::ReadLoad(const std::string& aPool,
+                                  const BackendServerConfig& aServer)
+{
+  const auto address = ParseAddress(aServer.address_);
+  if (!address) {
+    return;
+  }
+  client_.Call(
+    *address,
+    { "GET", pools_.at(aPool).config_.loadPath_, {}, "" },
+    options_.probeTimeout_,
+    [weak = weak_from_this(), aPool, name = aServer.name_](auto aResponse,
+                                                           const Error&) {
+      const auto self = weak.lock();
+      if (!self || !aResponse || aResponse->status_ != 200) {
+        return;
+      }
+      const auto report = ParseLoadReport(aResponse->body_);
+      const auto pool = self->pools_.find(aPool);
+      if (report && pool != self->pools_.end()) {
+        pool->second.pool_.OnLoadReport(name, *report, BootClock::now());
+      }
+    });
+}
+
+void
+BackendDispatcher::Impl::CheckConnection(const std::string& aPool,
+                                         const BackendServerConfig& aServer,
+                                         std::optional<ProbeResult> aWhenOpen)
+{
+  const auto address = ParseAddress(aServer.address_);
+  if (!address) {
+    return;
+  }
+  const auto stream = std::make_shared<detail::beast::tcp_stream>(context_);
+  stream->expires_after(detail::ToSteady(options_.probeTimeout_));
+  stream->async_connect(detail::ToEndpoint(*address),
+                        [weak = weak_from_this(),
+                         stream,
+                         aPool,
+                         name = aServer.name_,
+                         aWhenOpen,
+                         begun = BootClock::now()](detail::ErrorCode aError) {
+                          if (const auto self = weak.lock()) {
+                            self->OnChecked(
+                              aPool,
+                              name,
+                              aError ? std::optional(ProbeResult::ConnectFailed)
+                                     : aWhenOpen,
+                              begun);
+                          }
+                        });
+}
+
+void
+BackendDispatcher::Impl::OnChecked(const std::string& aPool,
+                                   const std::string& aServer,
+                                   std::optional<ProbeResult> aResult,
+                                   TimePoint aBegun)
+{
+  const TimePoint now = BootClock::now();
+  const auto pool = pools_.find(aPool);
+  if (pool != pools_.end() && aResult) {
+    pool->second.pool_.OnProbe(aServer, *aResult, aBegun, now);
+    LogStates(pool->second);
+  }
+  const bool alive = aResult != ProbeResult::ConnectFailed;
+  for (const QuarantineNotice& notice :
+       quarantine_.ServerChecked(aServer, alive, aBegun, now)) {
+    if (notice.quarantined_) {
+      LogEvent(Event::RequestQuarantined,
+               { { "fingerprint", notice.fingerprint_ },
+                 { "last_server", aServer },
+                 { "servers", notice.servers_.size() } });
+    }
+    const auto bytes = EncodeQuarantineNotice(notice);
+    sendNotice_(std::string(bytes.begin(), bytes.end()));
+  }
+}
+
+void
+BackendDispatcher::Impl::LogStates(Pool& aPool)
+{
+  for (const ServerStatus& row : aPool.pool_.Status(BootClock::now())) {
+    const std::string state = row.leaving_   ? "leaving"
+                              : row.down_    ? "down"
+                              : row.ejected_ ? "ejected"
+                                             : "in use";
+    std::string& last = aPool.states_[row.name_];
+    if (last != state) {
+      LogEvent(Event::BackendServerState,
+               { { "server", row.name_ },
+                 { "pool", aPool.config_.name_ },
+                 { "state", state } });
+      last = state;
+    }
+  }
+}
+
+BackendDispatcher::BackendDispatcher(
+  boost::asio::io_context& aContext,
+  BackendDispatcherOptions aOptions,
+  Metrics& aMetrics,
+  std::function<void(std::string)> aSendNotice)
+  : impl_(std::make_shared<Impl>(aContext,
+                                 std::move(aOptions),
+                                 aMetrics,
+                                 std::move(aSendNotice)))
+{
+}
+
+BackendDispatcher::~BackendDispatcher() = default;
+
+void
+BackendDispatcher::SetConfiguration(const ConfigurationPtr& aConfiguration)
+{
+  if (aConfiguration == nullptr || aConfiguration == impl_->configuration_) {
+    return;
+  }
+  impl_->configuration_ = aConfiguration;
+  const TimePoint now = BootClock::now();
+  for (const PoolConfig& config : aConfiguration->pools_) {
+    // The seed differs between hosts, so that they do not choose in step.
+    const auto it =
+      impl_->pools_
+        .try_emplace(config.name_,
+                     static_cast<std::uint64_t>(now.time_since_epoch().count()))
+        .first;
+    impl_->Configure(it->second, config, now);
+  }
+  for (auto& [name, pool] : impl_->pools_) {
+    if (aConfiguration->FindPool(name) == nullptr) {
+      impl_->Configure(pool, PoolConfig(pool.config_), now);
+    }
+  }
+  if (!impl_->probing_) {
+    impl_->ProbeAll();
+    impl_->ArmProbeTimer();
+  }
+}
+
+void
+BackendDispatcher::SetLeaving(const std::string& aPool,
+                              std::set<std::string> aServers)
+{
+  const auto it = impl_->pools_.find(aPool);
+  if (it != impl_->pools_.end()) {
+    it->second.listedLeaving_ = std::move(aServers);
+    impl_->Configure(
+      it->second, PoolConfig(it->second.config_), BootClock::now());
+  }
+}
+
+void
+BackendDispatcher::SetHosts(int aRank, int aCount)
+{
+  impl_->hostRank_ = aRank;
+  impl_->hostCount_ = aCount;
+  for (auto& entry : impl_->pools_) {
+    entry.second.pool_.SetHosts(aRank, aCount);
+  }
+}
+
+bool
+BackendDispatcher::HasServer(const std::string& aPool) const
+{
+  const auto it = impl_->pools_.find(aPool);
+  return it != impl_->pools_.end() &&
+         it->second.pool_.HasServerInUse(BootClock::now());
+}
+
+void
+BackendDispatcher::Choose(BackendRequest aRequest,
+                          std::function<void(const BackendDecision&)> aCallback)
+{
+  impl_->Choose(std::move(aRequest), std::move(aCallback));
+}
+
+void
+BackendDispatcher::OnOutcome(const BackendRequest& aRequest,
+                             const std::string& aServer,
+                             const BackendOutcome& aOutcome)
+{
+  const TimePoint now = BootClock::now();
+  impl_->quarantine_.Ended(aRequest.fingerprint_);
+  const auto it = impl_->pools_.find(aRequest.pool_);
+  if (it == impl_->pools_.end()) {
+    return;
+  }
+  Impl::Pool& pool = it->second;
+  pool.pool_.Release(aServer, aOutcome.outcome_, now);
+  switch (aOutcome.outcome_) {
+    case AttemptOutcome::Completed:
+      pool.queue_.RecordServiceTime(aOutcome.time_);
+      pool.limit_.Record(aOutcome.time_, now);
+      impl_->quarantine_.Completed(aRequest.fingerprint_, now);
+      break;
+    case AttemptOutcome::TimedOut:
+      pool.limit_.Record(aOutcome.time_, now);
+      break;
+    case AttemptOutcome::Shed:
+      impl_->shed_.Add(1);
+      break;
+    case AttemptOutcome::Reset:
+      impl_->quarantine_.Died(aRequest.fingerprint_, aServer, now);
+      [[fallthrough]];
+    case AttemptOutcome::ConnectFailed:
+      if (pool.servers_.count(aServer) > 0) {
+        impl_->CheckConnection(
+          aRequest.pool_, pool.servers_.at(aServer), std::nullopt);
+      }
+      break;
+    case AttemptOutcome::Cancelled:
+      break;
+  }
+  impl_->LogStates(pool);
+  if (aOutcome.silent_) {
+    pool.limit_.Record(aOutcome.time_, now);
+  }
+  // Not from within the end of an exchange, which is not over yet.
+  boost::asio::post(impl_->context_,
+                    [weak = std::weak_ptr(impl_), name = aRequest.pool_] {
+                      const auto self = weak.lock();
+                      if (self) {
+                        self->DrainQueue(self->pools_.at(name));
+                        self->ArmQueueTimer();
+                      }
+                    });
+}
+
+bool
+BackendDispatcher::MayRetry(const BackendRequest& aRequest)
+{
+  const auto it = impl_->pools_.find(aRequest.pool_);
+  if (it == impl_->pools_.end()) {
+    return false;
+  }
+  const bool may =
+    aRequest.shed_ || it->second.budget_.TryTake(BootClock::now());
+  if (may) {
+    impl_->retries_.Add(1);
+  }
+  return may;
+}
+
+std::optional<Duration>
+BackendDispatcher::ResponseLimit(const BackendRequest& aRequest) const
+{
+  const auto it = impl_->pools_.find(aRequest.pool_);
+  const TimePoint now = BootClock::now();
+  if (it == impl_->pools_.end() || aRequest.tried_.size() > 1 ||
+      !it->second.budget_.Has(now)) {
+    return std::nullopt;
+  }
+  return it->second.limit_.Limit(now);
+}
+
+void
+BackendDispatcher::OnNotice(const std::string& aPayload)
+{
+  const auto notice =
+    DecodeQuarantineNotice({ aPayload.begin(), aPayload.end() });
+  if (!notice) {
+    LogEvent(Event::PeerMessageMalformed, { { "type", "QuarantineNotice" } });
+    return;
+  }
+  impl_->quarantine_.Apply(*notice, BootClock::now());
+}
+
+}
--- a/src/backend/ConnectionHealth.cc
+++ b/src/backend/ConnectionHealth.cc
@@ -11,7 +11,7 @@
 // Below this, a pause of the scheduler or a lost packet looks like silence.
 constexpr double kShortestLimitSeconds = 0.3;
 // Before the first response nothing is known.
-constexpr double kFirstSlowestSeconds = 0.5;
+constexpr double kNoLimitSeconds = 3600;
 constexpr double kSlowestHalfLifeSeconds = 60;
 
 }
@@ -102,6 +102,19 @@
   return verdicts;
 }
 
+bool
+ConnectionHealth::TakeIfStalled(std::uint64_t aId, TimePoint aNow)
+{
+  const auto it = connections_.find(aId);
+  if (it == connections_.end() || !Stalled(it->second, aNow)) {
+    return false;
+  }
+  TimePoint& upTo = suspectedUpTo_[it->second.server_];
+  upTo = std::max(upTo, it->second.opened_);
+  connections_.erase(it);
+  return true;
+}
+
 bool
 ConnectionHealth::MayReuse(std::uint64_t aId, TimePoint aNow) const
 {
@@ -116,7 +129,7 @@
 ResponseTimeLimit::Slowest(TimePoint aNow) const
 {
   if (slowestSeconds_ == 0) {
-    return kFirstSlowestSeconds;
+    return kNoLimitSeconds;
   }
   const double age = std::max(0.0, ToSeconds(aNow - recorded_));
   return slowestSeconds_ * std::exp2(-age / kSlowestHalfLifeSeconds);
--- a/src/backend/ConnectionHealth.h
+++ b/src/backend/ConnectionHealth.h
@@ -71,6 +71,9 @@
   void Closed(std::uint64_t aId);
   // Returned connections are no longer watched.
   std::vector<ConnectionVerdict> Check(TimePoint aNow);
+  // As Check, for one busy connection: true when it is stalled, after which it
+  // is no longer watched and idle ones of its age are suspected.
+  bool TakeIfStalled(std::uint64_t aId, TimePoint aNow);
   // Whether a connection that is or becomes idle may carry another request.
   bool MayReuse(std::uint64_t aId, TimePoint aNow) const;
   std::size_t size() const { return connections_.size(); }
@@ -96,7 +99,8 @@
 
 // The wait for a response after which a request that may be retried is moved
 // to a new connection: a multiple of the slowest recent response, so that only
-// a wait unlike any other raises suspicion. An abandoned wait is recorded like
+// a wait unlike any other raises suspicion. Before the first response there is
+// no limit. An abandoned wait is recorded like
 // a response; a pool that becomes slower thus raises the limit, instead of
 // having all its requests moved.
 class ResponseTimeLimit
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -47,6 +47,10 @@
   RelayDecision = 5003,
   LookupDecision = 5004,
   RequestFinished = 5005,
+  // 8000: backend servers
+  BackendServerState = 8001,
+  RequestQuarantined = 8002,
+  BackendConnectionSilent = 8003,
 };
 
 enum class LogLevel
--- a/src/base/EventTable.cc
+++ b/src/base/EventTable.cc
@@ -108,6 +108,18 @@
     "request-finished",
     Level::Debug,
     "The whole answer was sent to the caller." },
+  { Event::BackendServerState,
+    "backend-server-state",
+    Level::Info,
+    "A backend server came into use or went out of use." },
+  { Event::RequestQuarantined,
+    "request-quarantined",
+    Level::Warning,
+    "Backend servers died under a request, which is refused from now on." },
+  { Event::BackendConnectionSilent,
+    "backend-connection-silent",
+    Level::Warning,
+    "A connection to a backend server made no progress and was closed." },
 };
 
 }
--- a/src/proxy/BackendConnections.cc
+++ b/src/proxy/BackendConnections.cc
@@ -19,10 +19,12 @@
   while (!idle.empty()) {
     BackendConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
-    if (now - connection->idleSince_ < options_.idleLimit_) {
+    if (now - connection->idleSince_ < options_.idleLimit_ &&
+        health_.MayReuse(connection->id_, now)) {
       connection->reused_ = true;
       return connection;
     }
+    Forget(*connection);
   }
   return nullptr;
 }
@@ -33,6 +35,8 @@
   auto connection = std::make_unique<BackendConnection>(context_);
   connection->address_ = aAddress;
   connection->openedAt_ = BootClock::now();
+  connection->id_ = ++lastId_;
+  health_.Opened(connection->id_, aAddress, connection->openedAt_);
   return connection;
 }
 
@@ -41,20 +45,37 @@
 {
   aConnection->stream_.expires_never();
   aConnection->idleSince_ = BootClock::now();
+  health_.Progress(
+    aConnection->id_, ConnectionPhase::Idle, aConnection->idleSince_);
+  if (!health_.MayReuse(aConnection->id_, aConnection->idleSince_)) {
+    Forget(*aConnection);
+    return;
+  }
   std::deque<BackendConnectionPtr>& idle = idle_[aConnection->address_];
   idle.push_back(std::move(aConnection));
   if (idle.size() > options_.idleConnections_) {
+    Forget(*idle.front());
     idle.pop_front();
   }
 }
 
+void
+BackendConnections::Forget(const BackendConnection& aConnection)
+{
+  health_.Closed(aConnection.id_);
+}
+
 void
 BackendConnections::CloseIdle(const std::string& aAddress,
                               TimePoint aOpenedUntil)
 {
   std::deque<BackendConnectionPtr>& idle = idle_[aAddress];
   const auto suspect = [&](const BackendConnectionPtr& aConnection) {
-    return aConnection->openedAt_ <= aOpenedUntil;
+    const bool old = aConnection->openedAt_ <= aOpenedUntil;
+    if (old) {
+      Forget(*aConnection);
+    }
+    return old;
   };
   idle.erase(std::remove_if(idle.begin(), idle.end(), suspect), idle.end());
 }
--- a/src/proxy/BackendConnections.h
+++ b/src/proxy/BackendConnections.h
@@ -3,6 +3,7 @@
 // Open connections to backend servers, kept for reuse. Used on the traffic
 // thread only. Included by .cc files of the proxy.
 
+#include "backend/ConnectionHealth.h"
 #include "http/BeastTypes.h"
 
 #include <deque>
@@ -20,6 +21,8 @@
   {
   }
 
+  // Of ConnectionHealth.
+  std::uint64_t id_ = 0;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   std::string address_;
@@ -54,11 +57,16 @@
   // Closes idle connections to the server that were opened at this time or
   // before, because one of that age went silent.
   void CloseIdle(const std::string& aAddress, TimePoint aOpenedUntil);
+  // Ends the watch over a connection that is closed or failed.
+  void Forget(const BackendConnection& aConnection);
+  ConnectionHealth& Health() { return health_; }
   asio::io_context& Context() { return context_; }
 
 private:
   asio::io_context& context_;
   BackendConnectionsOptions options_;
+  ConnectionHealth health_;
+  std::uint64_t lastId_ = 0;
   std::map<std::string, std::deque<BackendConnectionPtr>> idle_;
 };
 
--- a/src/proxy/BackendExchange.cc
+++ b/src/proxy/BackendExchange.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace peridotsail::detail {
 
@@ -12,6 +14,27 @@
 // How often deadlines and progress are checked.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
 
+// The system ends a connection whose sent bytes stay unacknowledged, or whose
+// idle peer does not answer, within these times.
+constexpr int kUserTimeoutMs = 5000;
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 3;
+
+void
+SetLivenessOptions(tcp::socket& aSocket)
+{
+  const auto set = [&aSocket](int aLevel, int aOption, int aValue) {
+    ::setsockopt(
+      aSocket.native_handle(), aLevel, aOption, &aValue, sizeof(aValue));
+  };
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
 bool
 StatesNotRun(const HttpHeaders& aHeaders)
 {
@@ -142,6 +165,7 @@
       self->connection_->stream_.expires_never();
       self->connection_->stream_.socket().set_option(tcp::no_delay(true),
                                                      ignored);
+      SetLivenessOptions(self->connection_->stream_.socket());
       self->SendHead();
     });
 }
@@ -168,6 +192,7 @@
   serializer_.emplace(request_);
   // From here on the server may have received a part of the request.
   result_.execution_ = ExecutionState::Unknown;
+  Progress(ConnectionPhase::Sending);
   http::async_write_header(
     connection_->stream_,
     *serializer_,
@@ -182,12 +207,12 @@
         self->FailConnection(aError);
         return;
       }
-      self->Progress();
       self->ReadHead();
       if (self->head_.hasBody_) {
         self->PumpRequestBody();
       } else {
         self->requestSent_ = true;
+        self->Progress(ConnectionPhase::AwaitingResponse);
       }
     });
 }
@@ -196,6 +221,7 @@
 BackendExchange::PumpRequestBody()
 {
   result_.bodyTaken_ = true;
+  Progress(ConnectionPhase::AwaitingCaller);
   incoming_->ReadBody([self = shared_from_this()](
                         std::optional<BodyPiece> aPiece, const Error& aError) {
     if (self->finished_) {
@@ -211,7 +237,7 @@
       self->Fail({ ErrorKind::BodyTooLarge, "" });
       return;
     }
-    self->Progress();
+    self->Progress(ConnectionPhase::Sending);
     self->WriteRequestPiece(std::move(*aPiece));
   });
 }
@@ -235,9 +261,9 @@
                         // reports the end.
                         return;
                       }
-                      self->Progress();
                       if (last) {
                         self->requestSent_ = true;
+                        self->Progress(ConnectionPhase::AwaitingResponse);
                       } else {
                         self->PumpRequestBody();
                       }
@@ -271,7 +297,6 @@
     FailConnection(aError);
     return;
   }
-  Progress();
   if (parser_->get().result_int() == 100) {
     ReadHead();
     return;
@@ -296,6 +321,7 @@
   if (const auto length = parser_->content_length()) {
     head.contentLength_ = *length;
   }
+  Progress(ConnectionPhase::AwaitingCaller);
   incoming_->SendHead(std::move(head), [self = shared_from_this()](bool aOk) {
     if (self->finished_) {
       return;
@@ -305,7 +331,6 @@
       self->Fail({ ErrorKind::BadRequest, "the caller is gone" });
       return;
     }
-    self->Progress();
     self->PumpResponseBody();
   });
 }
@@ -323,6 +348,7 @@
     });
     return;
   }
+  Progress(ConnectionPhase::Receiving);
   parser_->get().body().data = piece_.data();
   parser_->get().body().size = piece_.size();
   http::async_read_some(
@@ -343,12 +369,12 @@
     FailConnection(aError);
     return;
   }
-  Progress();
   const std::size_t size = piece_.size() - parser_->get().body().size;
   if (size == 0) {
     PumpResponseBody();
     return;
   }
+  Progress(ConnectionPhase::AwaitingCaller);
   incoming_->SendBody(
     { { piece_.data(), size }, false }, [self = shared_from_this()](bool aOk) {
       if (self->finished_) {
@@ -359,7 +385,6 @@
         self->Fail({ ErrorKind::BadRequest, "the caller is gone" });
         return;
       }
-      self->Progress();
       self->PumpResponseBody();
     });
 }
@@ -375,6 +400,8 @@
   // for another request.
   if (requestSent_ && parser_->get().keep_alive()) {
     connections_.Return(std::move(connection_));
+  } else {
+    connections_.Forget(*connection_);
   }
   done_(result_);
 }
@@ -398,15 +425,18 @@
   incoming_->SetOnCancelled(nullptr);
   result_.error_ = aError;
   if (connection_ != nullptr) {
+    connections_.Forget(*connection_);
     connection_->stream_.close();
   }
   done_(result_);
 }
 
 void
-BackendExchange::Progress()
+BackendExchange::Progress(ConnectionPhase aPhase)
 {
   lastProgress_ = BootClock::now();
+  connections_.Health().Progress(
+    connection_->id_, aPhase, lastProgress_, options_.responseLimit_);
 }
 
 void
@@ -428,13 +458,17 @@
     Fail({ ErrorKind::DeadlineExceeded, "" });
     return;
   }
-  if (now - lastProgress_ > options_.progressLimit_) {
-    if (connection_ != nullptr) {
-      result_.silentSince_ = connection_->openedAt_;
-    }
+  if (connection_ != nullptr &&
+      connections_.Health().TakeIfStalled(connection_->id_, now)) {
+    result_.silentSince_ = connection_->openedAt_;
     Fail({ ErrorKind::BackendStalled, "" });
     return;
   }
+  if (now - lastProgress_ > options_.progressLimit_ &&
+      (headReceived_ || !requestSent_)) {
+    Fail({ ErrorKind::BackendStalled, "the caller made no progress" });
+    return;
+  }
   ArmTimer();
 }
 
--- a/src/proxy/BackendExchange.h
+++ b/src/proxy/BackendExchange.h
@@ -23,7 +23,8 @@
   std::string serverAddress_;
   // The response head must have arrived by then.
   TimePoint deadline_;
-  // An exchange without progress for longer is ended.
+  // An exchange in which the caller makes no progress for longer is ended. The
+  // limits for the server are those of ConnectionHealth.
   Duration progressLimit_ = std::chrono::seconds(10);
   Duration connectLimit_ = std::chrono::seconds(2);
   // Bytes; a larger body ends the exchange with body-too-large.
@@ -32,6 +33,8 @@
   // is used again, after which it is unknown whether the request ran. A
   // request that must not run twice uses a new connection.
   bool reuseConnection_ = true;
+  // A response that takes longer makes the connection suspect.
+  std::optional<Duration> responseLimit_;
 };
 
 class BackendExchange : public std::enable_shared_from_this<BackendExchange>
@@ -69,7 +72,7 @@
   void FailConnection(const ErrorCode& aError);
   void ArmTimer();
   void OnTimer();
-  void Progress();
+  void Progress(ConnectionPhase aPhase);
 
   BackendConnections& connections_;
   IncomingRequestPtr incoming_;
--- a/src/proxy/RequestPipeline.h
+++ b/src/proxy/RequestPipeline.h
@@ -29,7 +29,8 @@
 {
   // An exchange without progress for longer is ended.
   Duration progressLimit_ = std::chrono::seconds(10);
-  // Attempts on backend servers for one request.
+  // Attempts on backend servers for one request, without those that a server
+  // shed: a shed request waits in the queue until its deadline.
   int maxAttempts_ = 3;
 };
 
@@ -44,6 +45,12 @@
   // Names of the backend servers that were tried for this request.
   std::set<std::string> tried_;
   bool relayed_ = false;
+  // The last attempt was shed by a backend server.
+  bool shed_ = false;
+  // Identifies equal requests, for the quarantine.
+  std::string fingerprint_;
+  // The time of the last choice.
+  TimePoint chosenAt_;
 };
 
 struct ServerChoice
@@ -77,13 +84,17 @@
   std::function<void(const ServerQuery&, std::function<void(ServerChoice)>)>
     chooseServer_;
   // Tells the outcome on a chosen server; runs once for each choice.
-  std::function<void(const BackendServerConfig&, const ExchangeResult&)>
+  std::function<
+    void(const ServerQuery&, const BackendServerConfig&, const ExchangeResult&)>
     onExchange_;
   // A host of another region when the request must go there, or nothing.
   std::function<std::optional<RelayTarget>(const ServerQuery&)> chooseRelay_;
   // Whether a further attempt may be made for an idempotent request or one
   // that was not run.
   std::function<bool(const ServerQuery&, const ExchangeResult&)> mayRetry_;
+  // May be empty. The wait for a response after which the connection is
+  // suspected and the request, when it may be repeated, moved to a new one.
+  std::function<std::optional<Duration>(const ServerQuery&)> responseLimit_;
 };
 
 class RequestPipeline
--- a/src/proxy/RequestRun.cc
+++ b/src/proxy/RequestRun.cc
@@ -1,5 +1,6 @@
 #include "proxy/RequestRun.h"
 
+#include "backend/Quarantine.h"
 #include "base/EventLog.h"
 
 #include <algorithm>
@@ -229,6 +230,14 @@
 void
 RequestRun::ChooseServer()
 {
+  if (query_.fingerprint_.empty()) {
+    const RequestHead& head = incoming_->Head();
+    query_.fingerprint_ = MakeFingerprint(query_.customer_,
+                                          head.method_,
+                                          head.target_,
+                                          head.contentLength_.value_or(0),
+                                          "");
+  }
   pipeline_->hooks_.chooseServer_(
     query_, [self = shared_from_this()](const ServerChoice& aChoice) {
       if (aChoice.server_) {
@@ -244,6 +253,7 @@
 {
   ++attempts_;
   query_.tried_.insert(aServer.name_);
+  query_.chosenAt_ = BootClock::now();
   LogEvent(Event::RouteDecision,
            { { "route", query_.route_->name_ },
              { "customer", query_.customer_ },
@@ -256,6 +266,10 @@
   options.progressLimit_ = pipeline_->options_.progressLimit_;
   options.maxBodyBytes_ = query_.route_->maxBodyBytes_;
   options.reuseConnection_ = query_.route_->idempotent_;
+  if (query_.route_->idempotent_ && !incoming_->Head().hasBody_ &&
+      pipeline_->hooks_.responseLimit_) {
+    options.responseLimit_ = pipeline_->hooks_.responseLimit_(query_);
+  }
   std::make_shared<BackendExchange>(
     pipeline_->connections_,
     incoming_,
@@ -270,8 +284,11 @@
 RequestRun::OnExchangeDone(const BackendServerConfig& aServer,
                            const ExchangeResult& aResult)
 {
-  pipeline_->hooks_.onExchange_(aServer, aResult);
+  pipeline_->hooks_.onExchange_(query_, aServer, aResult);
+  query_.shed_ = aResult.shed_;
+  shedAttempts_ += aResult.shed_ ? 1 : 0;
   if (aResult.silentSince_) {
+    LogEvent(Event::BackendConnectionSilent, { { "server", aServer.name_ } });
     pipeline_->connections_.CloseIdle(aServer.address_, *aResult.silentSince_);
   }
   if (!aResult.error_) {
@@ -296,10 +313,11 @@
 {
   const bool safe =
     query_.route_->idempotent_ || aResult.execution_ == ExecutionState::NotRun;
-  const bool useful =
-    aResult.connectFailed_ || aResult.shed_ || aResult.connectionDied_;
+  const bool useful = aResult.connectFailed_ || aResult.shed_ ||
+                      aResult.connectionDied_ ||
+                      aResult.silentSince_.has_value();
   return safe && useful && !aResult.bodyTaken_ && !incoming_->HeadSent() &&
-         attempts_ < pipeline_->options_.maxAttempts_ &&
+         attempts_ - shedAttempts_ < pipeline_->options_.maxAttempts_ &&
          BootClock::now() < query_.deadline_ &&
          pipeline_->hooks_.mayRetry_(query_, aResult);
 }
--- a/src/proxy/RequestRun.h
+++ b/src/proxy/RequestRun.h
@@ -72,6 +72,7 @@
   ServerQuery query_;
   TimePoint start_;
   int attempts_ = 0;
+  int shedAttempts_ = 0;
 };
 
 }
--- a/src/proxy/testing/ProxyTest.cc
+++ b/src/proxy/testing/ProxyTest.cc
@@ -129,7 +129,8 @@
       choice.refusal_ = MakeRefusal(ErrorKind::NoBackendServer);
       aCallback(choice);
     };
-    hooks.onExchange_ = [this](const BackendServerConfig& aServer,
+    hooks.onExchange_ = [this](const ServerQuery&,
+                               const BackendServerConfig& aServer,
                                const ExchangeResult& aResult) {
       selector_.OnExchange(aServer, aResult, BootClock::now());
     };
