--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -132,6 +132,7 @@
   HostDirectory directory_;
   BudgetKeeper budgets_;
   SlotDirectory slotDirectory_;
+  BackendDispatcher backends_;
   TrafficHooks hooks_;
 
   PeerNode peerNode_;
@@ -172,7 +173,16 @@
                peerNode_.Send(aHost, std::move(aMessage));
              })
   , slotDirectory_(traffic_.Context(), Hello(), MakeSlotDirectoryHooks())
-  , hooks_(settings_, configuration_, directory_, budgets_)
+  , backends_(
+      traffic_.Context(),
+      { settings_.region_ },
+      metrics_,
+      [this](const std::string& aNotice) {
+        for (const std::string& peer : peerNode_.LinkedPeers()) {
+          peerNode_.Send(peer, { PeerMessageType::QuarantineNotice, aNotice });
+        }
+      })
+  , hooks_(settings_, configuration_, directory_, budgets_, backends_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
   , pipeline_(traffic_.Context(), {}, MakePipelineHooks(), relays_, metrics_)
@@ -308,6 +318,12 @@
       peerNode_.SetPeers(std::move(peers));
     });
   };
+  hooks.onLeavingServers_ = [this](const std::string& aPool,
+                                   std::set<std::string> aServers) {
+    PostToTraffic([this, aPool, servers = std::move(aServers)] {
+      backends_.SetLeaving(aPool, servers);
+    });
+  };
   return hooks;
 }
 
@@ -328,8 +344,11 @@
     configuration_.Set(configuration);
     slotKeeper_.SetConfiguration(*configuration);
     once_.SetConfiguration(configuration);
-    PostToTraffic(
-      [this, configuration] { budgets_.SetConfiguration(*configuration); });
+    platformReader_.SetPools(configuration->pools_);
+    PostToTraffic([this, configuration] {
+      budgets_.SetConfiguration(*configuration);
+      backends_.SetConfiguration(configuration);
+    });
     metrics_
       .Gauge("peridotsail_configuration_version",
              "Configuration version in force on this host.")
@@ -424,6 +443,9 @@
     case PeerMessageType::SlotHeld:
       slotDirectory_.OnMessage(aFrom, aMessage.payload_);
       break;
+    case PeerMessageType::QuarantineNotice:
+      backends_.OnNotice(aMessage.payload_);
+      break;
     case PeerMessageType::HostLeaving:
       directory_.SetLeaving(aFrom.hostName_, BootClock::now());
       break;
--- a/src/app/PlatformReader.cc
+++ b/src/app/PlatformReader.cc
@@ -4,6 +4,7 @@
 #include "http/BeastTypes.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 
 namespace peridotsail {
 
@@ -23,6 +24,9 @@
   void Tick()
   {
     ReadHosts();
+    for (auto& entry : pools_) {
+      ReadPool(entry.first, entry.second);
+    }
     timer_.expires_after(detail::ToSteady(options_.interval_));
     timer_.async_wait([this](auto aError) {
       if (!aError) {
@@ -58,6 +62,36 @@
     });
   }
 
+  struct ListedPool
+  {
+    bool reading_ = false;
+    std::set<std::string> leaving_;
+  };
+
+  void ReadPool(const std::string& aName, ListedPool& aPool)
+  {
+    if (aPool.reading_) {
+      return;
+    }
+    aPool.reading_ = true;
+    hostList_.Read(aName, [this, aName, &aPool](auto aServers, const Error&) {
+      aPool.reading_ = false;
+      if (!aServers) {
+        return;
+      }
+      std::set<std::string> leaving;
+      for (const ListedHost& server : *aServers) {
+        if (server.leaving_) {
+          leaving.insert(server.name_);
+        }
+      }
+      if (leaving != aPool.leaving_) {
+        aPool.leaving_ = leaving;
+        hooks_.onLeavingServers_(aName, std::move(leaving));
+      }
+    });
+  }
+
   PlatformReaderOptions options_;
   PlatformReaderHooks hooks_;
   StoreClient store_;
@@ -66,6 +100,7 @@
   bool readingHosts_ = false;
   bool hostListReachable_ = true;
   std::vector<ListedHost> hosts_;
+  std::map<std::string, ListedPool> pools_;
 };
 
 PlatformReader::PlatformReader(boost::asio::io_context& aContext,
@@ -84,6 +119,15 @@
   impl_->Tick();
 }
 
+void
+PlatformReader::SetPools(const std::vector<PoolConfig>& aPools)
+{
+  // Entries of removed pools stay, because a read may be under way.
+  for (const PoolConfig& pool : aPools) {
+    impl_->pools_.try_emplace(pool.name_);
+  }
+}
+
 StoreClient&
 PlatformReader::Store()
 {
--- a/src/app/PlatformReader.h
+++ b/src/app/PlatformReader.h
@@ -4,12 +4,15 @@
 // new; owns the store client. Runs on the platform thread.
 
 #include "base/BootClock.h"
+#include "config/Configuration.h"
 #include "platform/HostListClient.h"
 #include "platform/StoreClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace peridotsail {
@@ -28,6 +31,10 @@
   std::function<void(std::vector<ListedHost>)> onHosts_;
   // Each list that was read, changed or not.
   std::function<void(const std::vector<ListedHost>&)> onHostsRead_;
+  // The backend servers that the list of a pool shows as leaving differ from
+  // those before.
+  std::function<void(const std::string& aPool, std::set<std::string>)>
+    onLeavingServers_;
 };
 
 class PlatformReader
@@ -41,6 +48,9 @@
   PlatformReader& operator=(const PlatformReader&) = delete;
 
   void Start();
+  // The pools of backend servers whose lists are read. Call it on the platform
+  // thread.
+  void SetPools(const std::vector<PoolConfig>& aPools);
   StoreClient& Store();
 
 private:
--- a/src/app/TrafficHooks.h
+++ b/src/app/TrafficHooks.h
@@ -8,10 +8,10 @@
 #include "app/HostDirectory.h"
 #include "app/Settings.h"
 #include "app/Snapshots.h"
+#include "backend/BackendDispatcher.h"
 #include "keys/KeyTable.h"
 #include "peer/PeerMessage.h"
 #include "proxy/RequestPipeline.h"
-#include "proxy/ServerSelector.h"
 
 #include <map>
 #include <string>
@@ -24,7 +24,8 @@
   TrafficHooks(const Settings& aSettings,
                const Snapshot<Configuration>& aConfiguration,
                const HostDirectory& aDirectory,
-               BudgetKeeper& aBudgets);
+               BudgetKeeper& aBudgets,
+               BackendDispatcher& aBackends);
 
   PipelineHooks Make();
   // A link to a peer came up or went down.
@@ -37,6 +38,9 @@
                                           Error& aError) const;
   void ChooseServer(const ServerQuery& aQuery,
                     const std::function<void(ServerChoice)>& aCallback);
+  void OnExchange(const ServerQuery& aQuery,
+                  const BackendServerConfig& aServer,
+                  const ExchangeResult& aResult);
   std::optional<RelayTarget> ChooseRelay(const ServerQuery& aQuery) const;
   // Whether another region has a backend server of the pool.
   static bool RegionHasPool(const Configuration& aConfiguration,
@@ -47,9 +51,9 @@
   const Snapshot<Configuration>& configuration_;
   const HostDirectory& directory_;
   BudgetKeeper& budgets_;
-  ServerSelector selector_;
   KeyTable keyTable_;
   ConfigurationPtr keysOf_;
+  BackendDispatcher& backends_;
   std::map<std::string, PeerHello> linked_;
 };
 
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -57,6 +57,10 @@
   OnceRelayed = 7006,
   // 6000: host slots and budgets
   SlotDecision = 6001,
+  // 8000: backend servers
+  BackendServerState = 8001,
+  RequestQuarantined = 8002,
+  BackendConnectionSilent = 8003,
 };
 
 enum class LogLevel
--- a/src/base/EventTable.cc
+++ b/src/base/EventTable.cc
@@ -142,6 +142,18 @@
     "once-relayed",
     Level::Info,
     "A non-idempotent request was relayed to the holder of its slot." },
+  { Event::BackendServerState,
+    "backend-server-state",
+    Level::Info,
+    "A backend server came into use or went out of use." },
+  { Event::RequestQuarantined,
+    "request-quarantined",
+    Level::Warning,
+    "Backend servers died under a request, which is refused from now on." },
+  { Event::BackendConnectionSilent,
+    "backend-connection-silent",
+    Level::Warning,
+    "A connection to a backend server made no progress and was closed." },
 };
 
 }
--- a/src/proxy/RequestRun.h
+++ b/src/proxy/RequestRun.h
@@ -89,6 +89,7 @@
   OnceExecution execution_;
   std::string onceKey_;
   bool once_ = false;
+  int shedAttempts_ = 0;
 };
 
 }
