--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -113,7 +113,7 @@
   , platform_("platform", kRingCapacity)
   , operator_("operator", kRingCapacity)
   , directory_(SelfOf(settings_))
-  , hooks_(settings_, configuration_, directory_)
+  , hooks_(settings_, configuration_, directory_, metrics_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
   , pipeline_(traffic_.Context(), {}, hooks_.Make(), relays_, metrics_)
@@ -196,6 +196,7 @@
       .Gauge("peridotsail_configuration_version",
              "Configuration version in force on this host.")
       .Set(static_cast<double>(aConfiguration->version_));
+    PostToTraffic([this] { hooks_.OnSnapshotChanged(); });
   };
   hooks.onHosts_ = [this](std::vector<ListedHost> aHosts) {
     PostToTraffic([this, hosts = std::move(aHosts)] {
@@ -207,6 +208,7 @@
         }
       }
       peerNode_.SetPeers(std::move(peers));
+      hooks_.OnSnapshotChanged();
     });
   };
   return hooks;
--- a/src/app/HostDirectory.cc
+++ b/src/app/HostDirectory.cc
@@ -1,10 +1,7 @@
 #include "app/HostDirectory.h"
 
-#include "base/Hash.h"
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <tuple>
 
 namespace peridotsail {
 
@@ -31,12 +28,14 @@
                aHosts.end());
   aHosts.push_back(self_);
   hosts_ = std::move(aHosts);
+  ++revision_;
 }
 
 void
 HostDirectory::SetLeaving(const std::string& aHostName, TimePoint aNow)
 {
   leavingUntil_[aHostName] = aNow + kLeavingNotice;
+  ++revision_;
 }
 
 void
@@ -46,44 +45,27 @@
   for (ListedHost& host : hosts_) {
     host.leaving_ = host.leaving_ || host.name_ == self_.name_;
   }
+  ++revision_;
 }
 
-bool
-HostDirectory::MayName(const ListedHost& aHost,
-                       const Configuration* aConfiguration,
-                       TimePoint aNow) const
-{
-  const auto notice = leavingUntil_.find(aHost.name_);
-  const bool noticed = notice != leavingUntil_.end() && notice->second > aNow;
-  const bool drained =
-    aConfiguration != nullptr &&
-    (aConfiguration->IsDraining(DrainKind::Host, aHost.name_) ||
-     aConfiguration->IsDraining(DrainKind::Region, aHost.region_));
-  return !aHost.leaving_ && !noticed && !drained &&
-         !aHost.callersAddress_.empty();
-}
-
-std::vector<ListedHost>
-HostDirectory::HostsFor(const std::string& aBlock,
-                        const Configuration* aConfiguration,
-                        TimePoint aNow) const
+std::vector<LookupHost>
+HostDirectory::LookupHosts(TimePoint aNow) const
 {
-  std::vector<ListedHost> chosen;
+  std::vector<LookupHost> named;
   for (const ListedHost& host : hosts_) {
-    if (MayName(host, aConfiguration, aNow)) {
-      chosen.push_back(host);
+    if (host.callersAddress_.empty()) {
+      continue;
     }
+    const auto notice = leavingUntil_.find(host.name_);
+    const bool noticed = notice != leavingUntil_.end() && notice->second > aNow;
+    named.push_back({ host.name_,
+                      host.region_,
+                      host.failureDomain_,
+                      host.callersAddress_,
+                      host.leaving_ || noticed ? LookupHostState::Leaving
+                                               : LookupHostState::Live });
   }
-  const auto rank = [&](const ListedHost& aHost) {
-    return std::make_tuple(aHost.region_ != self_.region_,
-                           StableHash(aHost.name_ + "|" + aBlock));
-  };
-  std::sort(chosen.begin(),
-            chosen.end(),
-            [&](const ListedHost& aLeft, const ListedHost& aRight) {
-              return rank(aLeft) < rank(aRight);
-            });
-  return chosen;
+  return named;
 }
 
 std::vector<ListedHost>
@@ -99,22 +81,20 @@
 }
 
 std::string
-LookupJson(const std::vector<ListedHost>& aHosts,
-           Duration aTtl,
-           const Configuration* aConfiguration)
+LookupJson(const LookupAnswer& aAnswer)
 {
   nlohmann::json hosts = nlohmann::json::array();
-  for (const ListedHost& host : aHosts) {
-    hosts.push_back({ { "name", host.name_ },
-                      { "region", host.region_ },
-                      { "failure_domain", host.failureDomain_ },
-                      { "address", host.callersAddress_ } });
+  for (const LookupHost* host : aAnswer.hosts_) {
+    hosts.push_back({ { "name", host->name_ },
+                      { "region", host->region_ },
+                      { "failure_domain", host->failureDomain_ },
+                      { "address", host->address_ } });
   }
-  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(aTtl);
+  const auto seconds =
+    std::chrono::duration_cast<std::chrono::seconds>(aAnswer.timeToLive_);
   return nlohmann::json{
     { "ttl_seconds", seconds.count() },
-    { "config_version",
-      aConfiguration == nullptr ? 0 : aConfiguration->version_ },
+    { "config_version", aAnswer.configVersion_ },
     { "hosts", hosts }
   }.dump();
 }
--- a/src/app/HostDirectory.h
+++ b/src/app/HostDirectory.h
@@ -1,15 +1,14 @@
 #pragma once
 
 // What this host knows of the entry hosts: the platform's list, which lags,
-// corrected by notices of hosts that are leaving. Orders them for look-ups.
-// Used on the traffic thread.
+// corrected by notices of hosts that are leaving. Used on the traffic thread.
 
 #include "base/BootClock.h"
-#include "config/Configuration.h"
 #include "platform/HostListClient.h"
+#include "steering/LookupService.h"
 
+#include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,30 +23,24 @@
   // A host stated that it is leaving; incarnation as in its hello.
   void SetLeaving(const std::string& aHostName, TimePoint aNow);
   void SetSelfLeaving();
-  // Hosts for callers in order of preference: those of this host's region
-  // first, the order within a region by rendezvous hashing of the block.
-  std::vector<ListedHost> HostsFor(const std::string& aBlock,
-                                   const Configuration* aConfiguration,
-                                   TimePoint aNow) const;
+  // All hosts that callers could use, with their states.
+  std::vector<LookupHost> LookupHosts(TimePoint aNow) const;
+  // Increases with each change; a leaving notice also ends by itself.
+  std::uint64_t Revision() const { return revision_; }
   // All listed hosts but this one.
   std::vector<ListedHost> Peers() const;
 
 private:
-  bool MayName(const ListedHost& aHost,
-               const Configuration* aConfiguration,
-               TimePoint aNow) const;
-
   ListedHost self_;
   std::vector<ListedHost> hosts_;
   // The notices count for a time only, because a replaced host may come back
   // under the same name.
   std::map<std::string, TimePoint> leavingUntil_;
+  std::uint64_t revision_ = 0;
 };
 
 // The JSON answer to a look-up.
 std::string
-LookupJson(const std::vector<ListedHost>& aHosts,
-           Duration aTtl,
-           const Configuration* aConfiguration);
+LookupJson(const LookupAnswer& aAnswer);
 
 }
--- /dev/null
+++ b/src/app/SteeringWiring.cc
@@ -0,0 +1,335 @@
+#include "app/SteeringWiring.h"
+
+#include "base/EventLog.h"
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotsail {
+
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::seconds(1);
+// Estimate of the time for which a request occupies a slot, for the wait at a
+// full pool.
+constexpr Duration kAssumedService = std::chrono::milliseconds(50);
+// A change of a region's weight that is worth a log line.
+constexpr double kLoggedChange = 0.05;
+
+HostSteeringOptions
+OptionsFrom(const Settings& aSettings)
+{
+  HostSteeringOptions options;
+  options.lookup_.timeToLive_ = aSettings.lookupTtl_;
+  // A pool may have one slot in all, which a reserved one would close.
+  options.admission_.reservedSlots_ = 0;
+  return options;
+}
+
+bool
+RegionHasPool(const Configuration& aConfiguration,
+              const std::string& aRegion,
+              const std::string& aPool)
+{
+  const auto& servers = aConfiguration.backendServers_;
+  return std::any_of(
+    servers.begin(), servers.end(), [&](const BackendServerConfig& aServer) {
+      return aServer.pool_ == aPool && aServer.region_ == aRegion &&
+             !aConfiguration.IsDraining(DrainKind::BackendServer,
+                                        aServer.name_);
+    });
+}
+
+}
+
+SteeringWiring::SteeringWiring(const Settings& aSettings,
+                               const Snapshot<Configuration>& aConfiguration,
+                               const HostDirectory& aDirectory,
+                               const ServerSelector& aSelector,
+                               Metrics& aMetrics)
+  : settings_(aSettings)
+  , configuration_(aConfiguration)
+  , directory_(aDirectory)
+  , selector_(aSelector)
+  , metrics_(aMetrics)
+  , steering_(
+      std::make_shared<HostSteering>(aSettings.region_, OptionsFrom(aSettings)))
+{
+}
+
+void
+SteeringWiring::Refresh()
+{
+  const TimePoint now = BootClock::now();
+  const ConfigurationPtr configuration = configuration_.Get();
+  const bool newVersion = configuration != adopted_ && configuration != nullptr;
+  const bool tick = now - ticked_ >= kTickInterval;
+  if (newVersion) {
+    AdoptConfiguration(configuration, now);
+  }
+  // Leaving notices end by themselves, so the list is also read at each tick.
+  if (newVersion || tick || directory_.Revision() != revision_) {
+    revision_ = directory_.Revision();
+    std::vector<LookupHost> hosts = directory_.LookupHosts(now);
+    states_.clear();
+    for (const LookupHost& host : hosts) {
+      states_[host.name_] = host.state_;
+    }
+    UpdateSlot(hosts, now);
+    steering_->SetHosts(std::move(hosts));
+  }
+  if (tick) {
+    Tick(now);
+  }
+}
+
+// Until slot leases are wired in, the first hosts of the region by name hold
+// its slots, as many as the configuration gives it.
+void
+SteeringWiring::UpdateSlot(const std::vector<LookupHost>& aHosts,
+                           TimePoint aNow)
+{
+  if (adopted_ == nullptr) {
+    return;
+  }
+  const RegionConfig* region = adopted_->FindRegion(settings_.region_);
+  const auto before =
+    std::count_if(aHosts.begin(), aHosts.end(), [&](const LookupHost& aHost) {
+      return aHost.region_ == settings_.region_ &&
+             aHost.name_ < settings_.hostName_;
+    });
+  const bool holds = region != nullptr && before < region->slots_;
+  steering_->SetSlot(1, holds ? TimePoint::max() : TimePoint{}, aNow);
+}
+
+void
+SteeringWiring::AdoptConfiguration(const ConfigurationPtr& aConfiguration,
+                                   TimePoint aNow)
+{
+  adopted_ = aConfiguration;
+  std::vector<std::string> known;
+  for (const RegionDrain& drain : steering_->Drains()) {
+    known.push_back(drain.region_);
+  }
+  steering_->Adopt(aConfiguration, aNow);
+  for (const RegionDrain& drain : steering_->Drains()) {
+    if (std::find(known.begin(), known.end(), drain.region_) == known.end()) {
+      LogEvent(Event::RegionDrainPlanned,
+               { { "region", drain.region_ },
+                 { "move_seconds", ToSeconds(drain.plan_.moveTime_) },
+                 { "total_seconds", ToSeconds(drain.plan_.total_) },
+                 { "bound", NameOf(drain.plan_.bound_) },
+                 { "shortfall", drain.plan_.shortfallPerSecond_ } });
+    }
+  }
+}
+
+void
+SteeringWiring::Tick(TimePoint aNow)
+{
+  ticked_ = aNow;
+  if (adopted_ == nullptr) {
+    return;
+  }
+  steering_->Tick(aNow);
+  for (const RegionConfig& region : adopted_->regions_) {
+    const double keep = steering_->KeptPart(region.name_, aNow);
+    const std::string label = "region=\"" + region.name_ + "\"";
+    metrics_
+      .Gauge("peridotsail_region_kept_ratio",
+             "Part of its own callers that a region keeps in look-ups.",
+             label)
+      .Set(keep);
+    const auto logged = loggedKeep_.emplace(region.name_, 1).first;
+    if (std::abs(logged->second - keep) >= kLoggedChange) {
+      logged->second = keep;
+      LogEvent(Event::RegionWeightChanged,
+               { { "region", region.name_ },
+                 { "kept", keep },
+                 { "state",
+                   NameOf(steering_->Weights().State(region.name_, aNow)) } });
+    }
+  }
+  for (const ShiftPairStatus& pair : steering_->Caps().Status()) {
+    const std::string label =
+      "from=\"" + settings_.region_ + "\",to=\"" + pair.to_ + "\"";
+    metrics_
+      .Gauge("peridotsail_shift_bytes",
+             "Bytes sent to another region under its shift cap.",
+             label)
+      .Set(pair.sentBytes_);
+    metrics_
+      .Gauge("peridotsail_shift_refused",
+             "Reservations that the shift cap had no room for.",
+             label)
+      .Set(static_cast<double>(pair.refused_));
+  }
+}
+
+std::string
+SteeringWiring::Lookup(const std::string& aBlock)
+{
+  Refresh();
+  const LookupAnswer answer = steering_->Lookup(aBlock);
+  LogEvent(
+    Event::LookupDecision,
+    { { "block", aBlock },
+      { "home_region", answer.homeRegion_ },
+      { "hosts", answer.hosts_.size() },
+      { "first", answer.hosts_.empty() ? "" : answer.hosts_.front()->name_ } });
+  metrics_.Counter("peridotsail_lookups_total", "Look-ups answered.").Add(1);
+  return LookupJson(answer);
+}
+
+std::optional<Duration>
+SteeringWiring::LocalWait(const ServerQuery& aQuery, TimePoint aNow) const
+{
+  const Configuration& configuration = *aQuery.configuration_;
+  const std::string& pool = aQuery.route_->pool_;
+  if (!selector_.HasServer(configuration, pool, aNow) ||
+      OwnDrainFinished(aNow)) {
+    return std::nullopt;
+  }
+  const int free = selector_.FreeSlots(configuration, pool, aNow);
+  return free > 0 ? Duration::zero() : kAssumedService * (1 - free);
+}
+
+bool
+SteeringWiring::OwnDrainFinished(TimePoint aNow) const
+{
+  const auto& drains = steering_->Drains();
+  return std::any_of(
+    drains.begin(), drains.end(), [&](const RegionDrain& aDrain) {
+      return aDrain.region_ == settings_.region_ &&
+             aDrain.plan_.Finished(aNow - aDrain.start_);
+    });
+}
+
+const PeerHello*
+SteeringWiring::FindPeer(const std::string& aRegion, std::uint64_t aKey) const
+{
+  const PeerHello* best = nullptr;
+  double bestScore = 0;
+  for (const auto& [name, peer] : linked_) {
+    const auto state = states_.find(name);
+    const bool leaving =
+      state != states_.end() && state->second != LookupHostState::Live;
+    const double score = RendezvousScore(aKey, StableHash(name), 1);
+    if (peer.region_ == aRegion && !leaving && score > bestScore) {
+      best = &peer;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+std::optional<RelayTarget>
+SteeringWiring::ChooseRelay(const ServerQuery& aQuery)
+{
+  Refresh();
+  const TimePoint now = BootClock::now();
+  SteerRequestInput input;
+  input.key_ = StableHash(settings_.hostName_, ++decisions_);
+  input.requestBytes_ = aQuery.requestBytes_;
+  input.localWait_ = LocalWait(aQuery, now);
+  input.localServer_ = input.localWait_.has_value();
+  input.timeLeft_ = aQuery.deadline_ - now;
+  input.tried_ = aQuery.triedRegions_;
+  input.reachable_ = [&](const std::string& aRegion) {
+    return RegionHasPool(
+             *aQuery.configuration_, aRegion, aQuery.route_->pool_) &&
+           FindPeer(aRegion, input.key_) != nullptr;
+  };
+  SteerDecision decision = steering_->Steer(input, now);
+  CountDecision(decision);
+  if (decision.action_ == SteerAction::ServeHere) {
+    return std::nullopt;
+  }
+  LogEvent(Event::SteeringDecision,
+           { { "route", aQuery.route_->name_ },
+             { "customer", aQuery.customer_ },
+             { "action", NameOf(decision.action_) },
+             { "reason", NameOf(decision.reason_) },
+             { "to_region", decision.region_ },
+             { "bytes", aQuery.requestBytes_ } });
+  RelayTarget target;
+  if (decision.action_ == SteerAction::Refuse) {
+    target.refusal_ = MakeRefusal(decision.kind_);
+    return target;
+  }
+  target.host_ = FindPeer(decision.region_, input.key_)->hostName_;
+  target.region_ = decision.region_;
+  target.allowance_ =
+    std::make_shared<RelayAllowance>(steering_, std::move(decision.ticket_));
+  return target;
+}
+
+void
+SteeringWiring::CountDecision(const SteerDecision& aDecision)
+{
+  metrics_
+    .Counter("peridotsail_steering_decisions_total",
+             "Requests by where they are served, and why.",
+             "action=\"" + std::string(NameOf(aDecision.action_)) +
+               "\",reason=\"" + std::string(NameOf(aDecision.reason_)) + "\"")
+    .Add(1);
+}
+
+RelayAdmission
+SteeringWiring::Admit(const ServerQuery& aQuery, const std::string& aFromRegion)
+{
+  Refresh();
+  const TimePoint now = BootClock::now();
+  const std::string& route = aQuery.route_->name_;
+  RelayAdmission admission;
+  // The response is traffic from here to the source's region.
+  std::optional<ShiftTicket> ticket = steering_->Caps().Reserve(
+    aFromRegion, steering_->Caps().EstimateResponse(route), now);
+  if (!ticket) {
+    admission.refusal_ = ErrorKind::ShiftCapReached;
+  } else {
+    const int free =
+      selector_.FreeSlots(*aQuery.configuration_, aQuery.route_->pool_, now);
+    admission.refusal_ = steering_->Admission().AdmitRelayed(free, now);
+    admission.allowance_ =
+      std::make_shared<RelayAllowance>(steering_, std::move(*ticket));
+    if (!admission.refusal_) {
+      admission.allowance_->SetOnEnd(
+        [steering = steering_.get(), route](double aBytes) {
+          steering->Caps().LearnResponse(route, aBytes);
+        });
+    }
+  }
+  const std::string result =
+    admission.refusal_ ? std::string(NameOf(*admission.refusal_)) : "admitted";
+  metrics_
+    .Counter("peridotsail_relay_admissions_total",
+             "Requests relayed from other regions, by decision.",
+             "result=\"" + result + "\"")
+    .Add(1);
+  LogEvent(Event::RelayAdmission,
+           { { "route", route },
+             { "customer", aQuery.customer_ },
+             { "from_region", aFromRegion },
+             { "result", result } });
+  return admission;
+}
+
+void
+SteeringWiring::OnRelayRefused(const std::string& aRegion)
+{
+  steering_->Weights().OnRefused(aRegion, BootClock::now());
+}
+
+void
+SteeringWiring::OnLink(const PeerHello& aPeer, bool aUp)
+{
+  if (aUp) {
+    linked_[aPeer.hostName_] = aPeer;
+  } else {
+    linked_.erase(aPeer.hostName_);
+  }
+}
+
+}
--- a/src/app/TrafficHooks.cc
+++ b/src/app/TrafficHooks.cc
@@ -1,19 +1,16 @@
 #include "app/TrafficHooks.h"
 
-#include "base/EventLog.h"
 #include "base/Hash.h"
 
-#include <algorithm>
-
 namespace peridotsail {
 
 TrafficHooks::TrafficHooks(const Settings& aSettings,
                            const Snapshot<Configuration>& aConfiguration,
-                           const HostDirectory& aDirectory)
-  : settings_(aSettings)
-  , configuration_(aConfiguration)
-  , directory_(aDirectory)
+                           const HostDirectory& aDirectory,
+                           Metrics& aMetrics)
+  : configuration_(aConfiguration)
   , selector_(aSettings.region_)
+  , steering_(aSettings, aConfiguration, aDirectory, selector_, aMetrics)
 {
 }
 
@@ -22,7 +19,9 @@
 {
   PipelineHooks hooks;
   hooks.configuration_ = [this] { return configuration_.Get(); };
-  hooks.lookup_ = [this](const std::string& aBlock) { return Lookup(aBlock); };
+  hooks.lookup_ = [this](const std::string& aBlock) {
+    return steering_.Lookup(aBlock);
+  };
   hooks.authenticate_ = [this](const std::string* aAuthorization,
                                Error& aError) {
     return Authenticate(aAuthorization, aError);
@@ -40,7 +39,14 @@
     selector_.OnExchange(aServer, aResult, BootClock::now());
   };
   hooks.chooseRelay_ = [this](const ServerQuery& aQuery) {
-    return ChooseRelay(aQuery);
+    return steering_.ChooseRelay(aQuery);
+  };
+  hooks.onRelayRefused_ = [this](const std::string& aRegion) {
+    steering_.OnRelayRefused(aRegion);
+  };
+  hooks.admitRelayed_ = [this](const ServerQuery& aQuery,
+                               const std::string& aFromRegion) {
+    return steering_.Admit(aQuery, aFromRegion);
   };
   hooks.mayRetry_ = [](const ServerQuery&, const ExchangeResult&) {
     return true;
@@ -51,24 +57,7 @@
 void
 TrafficHooks::OnLink(const PeerHello& aPeer, bool aUp)
 {
-  if (aUp) {
-    linked_[aPeer.hostName_] = aPeer;
-  } else {
-    linked_.erase(aPeer.hostName_);
-  }
-}
-
-std::string
-TrafficHooks::Lookup(const std::string& aBlock) const
-{
-  const ConfigurationPtr configuration = configuration_.Get();
-  const auto hosts =
-    directory_.HostsFor(aBlock, configuration.get(), BootClock::now());
-  LogEvent(Event::LookupDecision,
-           { { "block", aBlock },
-             { "hosts", hosts.size() },
-             { "first", hosts.empty() ? "" : hosts.front().name_ } });
-  return LookupJson(hosts, settings_.lookupTtl_, configuration.get());
+  steering_.OnLink(aPeer, aUp);
 }
 
 std::optional<std::string>
@@ -115,38 +104,4 @@
   aCallback(choice);
 }
 
-bool
-TrafficHooks::RegionHasPool(const Configuration& aConfiguration,
-                            const std::string& aRegion,
-                            const std::string& aPool)
-{
-  const auto& servers = aConfiguration.backendServers_;
-  return !aConfiguration.IsDraining(DrainKind::Region, aRegion) &&
-         std::any_of(servers.begin(),
-                     servers.end(),
-                     [&](const BackendServerConfig& aServer) {
-                       return aServer.pool_ == aPool &&
-                              aServer.region_ == aRegion &&
-                              !aConfiguration.IsDraining(
-                                DrainKind::BackendServer, aServer.name_);
-                     });
-}
-
-std::optional<RelayTarget>
-TrafficHooks::ChooseRelay(const ServerQuery& aQuery) const
-{
-  const Configuration& configuration = *aQuery.configuration_;
-  const std::string& pool = aQuery.route_->pool_;
-  if (selector_.HasServer(configuration, pool, BootClock::now())) {
-    return std::nullopt;
-  }
-  for (const auto& [name, peer] : linked_) {
-    if (peer.region_ != settings_.region_ &&
-        RegionHasPool(configuration, peer.region_, pool)) {
-      return RelayTarget{ name, peer.region_ };
-    }
-  }
-  return std::nullopt;
-}
-
 }
--- a/src/app/TrafficHooks.h
+++ b/src/app/TrafficHooks.h
@@ -6,11 +6,11 @@
 #include "app/HostDirectory.h"
 #include "app/Settings.h"
 #include "app/Snapshots.h"
+#include "app/SteeringWiring.h"
 #include "peer/PeerMessage.h"
 #include "proxy/RequestPipeline.h"
 #include "proxy/ServerSelector.h"
 
-#include <map>
 #include <string>
 
 namespace peridotsail {
@@ -20,29 +20,24 @@
 public:
   TrafficHooks(const Settings& aSettings,
                const Snapshot<Configuration>& aConfiguration,
-               const HostDirectory& aDirectory);
+               const HostDirectory& aDirectory,
+               Metrics& aMetrics);
 
   PipelineHooks Make();
+  // A configuration came into force or the host list changed.
+  void OnSnapshotChanged() { steering_.Refresh(); }
   // A link to a peer came up or went down.
   void OnLink(const PeerHello& aPeer, bool aUp);
 
 private:
-  std::string Lookup(const std::string& aBlock) const;
   std::optional<std::string> Authenticate(const std::string* aAuthorization,
                                           Error& aError) const;
   void ChooseServer(const ServerQuery& aQuery,
                     const std::function<void(ServerChoice)>& aCallback);
-  std::optional<RelayTarget> ChooseRelay(const ServerQuery& aQuery) const;
-  // Whether another region has a backend server of the pool.
-  static bool RegionHasPool(const Configuration& aConfiguration,
-                            const std::string& aRegion,
-                            const std::string& aPool);
 
-  const Settings& settings_;
   const Snapshot<Configuration>& configuration_;
-  const HostDirectory& directory_;
   ServerSelector selector_;
-  std::map<std::string, PeerHello> linked_;
+  SteeringWiring steering_;
 };
 
 }
--- a/src/app/testing/SettingsTest.cc
+++ b/src/app/testing/SettingsTest.cc
@@ -87,10 +87,16 @@
       { "h3", "north", "north-b", "127.0.0.3:1", "127.0.0.3:2", "", false },
       { "h4", "north", "north-b", "127.0.0.4:1", "127.0.0.4:2", "", true } });
   const auto names = [&](const Configuration* aConfiguration, TimePoint aNow) {
+    LookupService lookup;
+    lookup.SetHosts(directory.LookupHosts(aNow));
+    if (aConfiguration != nullptr) {
+      lookup.SetConfiguration(std::make_shared<Configuration>(*aConfiguration));
+      lookup.SetRegionShare("south", { 0, 0, true });
+    }
     std::string text;
-    for (const ListedHost& host :
-         directory.HostsFor("10.0.0.0/24", aConfiguration, aNow)) {
-      text += host.name_;
+    for (const LookupHost* host :
+         lookup.Answer("10.0.0.0/24", "north").hosts_) {
+      text += host->name_;
     }
     return text;
   };
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -47,6 +47,11 @@
   RelayDecision = 5003,
   LookupDecision = 5004,
   RequestFinished = 5005,
+  // 9000: steering
+  RegionWeightChanged = 9001,
+  RegionDrainPlanned = 9002,
+  RelayAdmission = 9003,
+  SteeringDecision = 9004,
 };
 
 enum class LogLevel
--- a/src/base/EventTable.cc
+++ b/src/base/EventTable.cc
@@ -108,6 +108,22 @@
     "request-finished",
     Level::Debug,
     "The whole answer was sent to the caller." },
+  { Event::RegionWeightChanged,
+    "region-weight-changed",
+    Level::Info,
+    "The part of its own callers that a region keeps has changed." },
+  { Event::RegionDrainPlanned,
+    "region-drain-planned",
+    Level::Info,
+    "A drain of a region came into force; the forecast is this host's." },
+  { Event::RelayAdmission,
+    "relay-admission",
+    Level::Info,
+    "A request from a host of another region was admitted or refused." },
+  { Event::SteeringDecision,
+    "steering-decision",
+    Level::Info,
+    "A request was steered to another region or refused by steering." },
 };
 
 }
--- a/src/proxy/RelayDestination.cc
+++ b/src/proxy/RelayDestination.cc
@@ -10,6 +10,7 @@
   : node_(std::move(aNode))
   , from_(std::move(aFrom))
   , head_(std::move(aHead))
+  , timer_(node_->context_)
 {
 }
 
@@ -78,12 +79,9 @@
 RelayDestination::SendHead(ResponseHead aHead, WriteCallback aCallback)
 {
   headSent_ = true;
-  const bool sent =
-    !gone_ &&
-    node_->Send(from_.hostName_,
-                PeerMessageType::RelayHead,
-                Encode(RelayResponseHead{ head_.id_, std::move(aHead) }));
-  Later([callback = std::move(aCallback), sent] { callback(sent); });
+  pendingHead_ = Encode(RelayResponseHead{ head_.id_, std::move(aHead) });
+  headCallback_ = std::move(aCallback);
+  FlushPending();
 }
 
 void
@@ -96,24 +94,64 @@
 
 void
 RelayDestination::FlushPending()
+{
+  const bool done = FlushHead() && FlushBody();
+  if (!done) {
+    RetryLater();
+  }
+}
+
+bool
+RelayDestination::FlushHead()
+{
+  if (!pendingHead_) {
+    return true;
+  }
+  const std::size_t size = pendingHead_->size();
+  if (!gone_ && allowance_) {
+    // A head is small; its bytes may come to their tokens one after another.
+    headCovered_ += allowance_->Cover(size - headCovered_);
+    if (headCovered_ < size) {
+      return false;
+    }
+  }
+  const bool sent = !gone_ && node_->Send(from_.hostName_,
+                                          PeerMessageType::RelayHead,
+                                          std::move(*pendingHead_));
+  pendingHead_.reset();
+  const WriteCallback callback = std::exchange(headCallback_, nullptr);
+  Later([callback, sent] { callback(sent); });
+  return true;
+}
+
+bool
+RelayDestination::FlushBody()
 {
   if (!pending_) {
-    return;
+    return true;
   }
   const bool maySend = sender_.MaySend() || pending_->last_;
   if (!gone_ && !maySend) {
-    return;
+    return true;
   }
   bool sent = false;
   const bool last = pending_->last_;
   if (!gone_) {
-    const std::size_t size = pending_->bytes_.size();
-    const RelayBodyPiece message{ head_.id_,
-                                  RelayDirection::Response,
-                                  sender_.Take(size),
-                                  std::move(*pending_) };
-    sent =
-      node_->Send(from_.hostName_, PeerMessageType::RelayBody, Encode(message));
+    const std::size_t whole = pending_->bytes_.size();
+    const std::size_t size = allowance_ ? allowance_->Cover(whole) : whole;
+    BodyPiece piece{ pending_->bytes_.substr(0, size), last && size == whole };
+    if (size > 0 || whole == 0) {
+      const RelayBodyPiece message{ head_.id_,
+                                    RelayDirection::Response,
+                                    sender_.Take(size),
+                                    std::move(piece) };
+      sent = node_->Send(
+        from_.hostName_, PeerMessageType::RelayBody, Encode(message));
+    }
+    if (size < whole && (sent || size == 0)) {
+      pending_->bytes_.erase(0, size);
+      return false;
+    }
   }
   pending_.reset();
   if (last) {
@@ -122,6 +160,19 @@
   }
   const WriteCallback callback = std::exchange(pendingCallback_, nullptr);
   Later([callback, sent] { callback(sent); });
+  return true;
+}
+
+void
+RelayDestination::RetryLater()
+{
+  constexpr Duration kRetryInterval = std::chrono::milliseconds(20);
+  timer_.expires_after(ToSteady(kRetryInterval));
+  timer_.async_wait([self = shared_from_this()](ErrorCode aError) {
+    if (!aError) {
+      self->FlushPending();
+    }
+  });
 }
 
 void
@@ -134,9 +185,22 @@
 void
 RelayDestination::Abort()
 {
-  node_->Send(from_.hostName_,
-              PeerMessageType::RelayEnd,
-              Encode(RelayEnd{ head_.id_, RelayDirection::Response }));
+  End(std::nullopt);
+}
+
+void
+RelayDestination::Refuse(ErrorKind aKind)
+{
+  End(aKind);
+}
+
+void
+RelayDestination::End(std::optional<ErrorKind> aRefusal)
+{
+  node_->Send(
+    from_.hostName_,
+    PeerMessageType::RelayEnd,
+    Encode(RelayEnd{ head_.id_, RelayDirection::Response, aRefusal }));
   gone_ = true;
   Remove();
 }
@@ -155,6 +219,7 @@
 void
 RelayDestination::Remove()
 {
+  allowance_.reset();
   node_->destinations_.erase(Key());
 }
 
--- a/src/proxy/RelayExchange.h
+++ b/src/proxy/RelayExchange.h
@@ -74,8 +74,15 @@
   void OnHead(RelayResponseHead aHead);
   void OnBody(RelayBodyPiece aPiece);
   void OnCredit(std::uint64_t aBytes);
+  // The destination refused the request; it was not run.
+  void OnRefused(ErrorKind aKind);
   // Ends the relay; the destination is told so.
   void Fail(const Error& aError);
+  // Call before Start.
+  void SetAllowance(RelayAllowancePtr aAllowance)
+  {
+    allowance_ = std::move(aAllowance);
+  }
   const std::string& Host() const { return host_; }
 
 private:
@@ -98,6 +105,9 @@
   TimePoint lastProgress_;
   RelaySender sender_;
   RelayReceiver receiver_;
+  RelayAllowancePtr allowance_;
+  // The rest of a piece that waits for tokens of the shift cap.
+  std::optional<BodyPiece> unsent_;
   bool bodyPumping_ = false;
   bool bodyEnded_ = false;
   bool headReceived_ = false;
@@ -126,12 +136,31 @@
   void OnCredit(std::uint64_t aBytes);
   // The source gave up or the link is down.
   void OnSourceGone();
+  // Ends the relay of a request that was not run.
+  void Refuse(ErrorKind aKind);
+  void SetAllowance(RelayAllowancePtr aAllowance)
+  {
+    allowance_ = std::move(aAllowance);
+  }
+  // Drops the callbacks, which hold this object, at the end of the node.
+  void Discard()
+  {
+    const ReadCallback reading = std::exchange(reading_, nullptr);
+    const WriteCallback head = std::exchange(headCallback_, nullptr);
+    const WriteCallback body = std::exchange(pendingCallback_, nullptr);
+  }
   const PeerHello& From() const { return from_; }
   RelayKey Key() const;
 
 private:
   void DeliverBody();
+  // Sends what waits for credit or for tokens of the shift cap.
   void FlushPending();
+  // Each returns false when it has to wait.
+  bool FlushHead();
+  bool FlushBody();
+  void RetryLater();
+  void End(std::optional<ErrorKind> aRefusal);
   void Remove();
   void Later(std::function<void()> aTask);
 
@@ -141,6 +170,13 @@
   RelaySender sender_;
   RelayReceiver receiver_;
   ReadCallback reading_;
+  RelayAllowancePtr allowance_;
+  asio::steady_timer timer_;
+  // The encoded head that waits for tokens, and how many of its bytes have
+  // some.
+  std::optional<std::string> pendingHead_;
+  std::size_t headCovered_ = 0;
+  WriteCallback headCallback_;
   std::optional<BodyPiece> pending_;
   WriteCallback pendingCallback_;
   bool bodyEnded_ = false;
--- a/src/proxy/RelayMessages.cc
+++ b/src/proxy/RelayMessages.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kMaxHeaders = 200;
 constexpr std::size_t kMaxHeaderBytes = 32 * 1024;
 constexpr std::size_t kMaxNameBytes = 100;
+constexpr std::size_t kMaxKindBytes = 100;
 constexpr std::size_t kMaxPieceBytes = 64 * 1024;
 
 json
@@ -134,7 +135,11 @@
 std::string
 Encode(const RelayEnd& aEnd)
 {
-  return ToCbor({ { "d", ToNumber(aEnd.direction_) }, { "id", aEnd.id_ } });
+  json map{ { "d", ToNumber(aEnd.direction_) }, { "id", aEnd.id_ } };
+  if (aEnd.refusal_) {
+    map["refusal"] = std::string(NameOf(*aEnd.refusal_));
+  }
+  return ToCbor(map);
 }
 
 std::optional<RelayDirection>
@@ -224,6 +229,12 @@
   const auto direction = ReadDirection(reader);
   RelayEnd message;
   message.id_ = reader.Unsigned("id");
+  if (reader.Has("refusal")) {
+    message.refusal_ = ErrorKindFromName(reader.Text("refusal", kMaxKindBytes));
+    if (!message.refusal_) {
+      return std::nullopt;
+    }
+  }
   if (!reader.Valid() || !direction) {
     return std::nullopt;
   }
--- a/src/proxy/RelayMessages.h
+++ b/src/proxy/RelayMessages.h
@@ -5,6 +5,7 @@
 // with a sequence number, so that a lost piece is noticed, and bounded by
 // credits in bytes.
 
+#include "base/ErrorKind.h"
 #include "proxy/IncomingRequest.h"
 
 #include <cstdint>
@@ -62,6 +63,8 @@
 {
   std::uint64_t id_ = 0;
   RelayDirection direction_ = RelayDirection::Request;
+  // Set when the destination refused the request; it was then not run.
+  std::optional<ErrorKind> refusal_;
 };
 
 std::string
--- a/src/proxy/RelayNode.cc
+++ b/src/proxy/RelayNode.cc
@@ -55,6 +55,12 @@
   relayed.deadline_ =
     BootClock::now() + std::chrono::milliseconds(aHead.remainingMs_);
   relayed.once_ = aHead.once_;
+  relayed.refuse_ = [destination](ErrorKind aKind) {
+    destination->Refuse(aKind);
+  };
+  relayed.setAllowance_ = [destination](RelayAllowancePtr aAllowance) {
+    destination->SetAllowance(std::move(aAllowance));
+  };
   hooks_.onRequest_(std::move(relayed));
 }
 
@@ -126,6 +132,10 @@
       destination->OnSourceGone();
     }
   } else if (const auto source = FindSource(aFrom, end->id_)) {
+    if (end->refusal_) {
+      source->OnRefused(*end->refusal_);
+      return;
+    }
     source->Fail(
       { ErrorKind::BackendFailed, "the relayed response ended early" });
   }
@@ -136,14 +146,23 @@
 {
 }
 
-RelayNode::~RelayNode() = default;
+RelayNode::~RelayNode()
+{
+  // Relays hold the node and its maps hold the relays.
+  const auto destinations = std::move(impl_->destinations_);
+  impl_->destinations_.clear();
+  for (const auto& [key, destination] : destinations) {
+    destination->Discard();
+  }
+}
 
 void
 RelayNode::Start(IncomingRequestPtr aRequest,
                  const std::string& aHost,
                  RelayRequestHead aHead,
                  TimePoint aDeadline,
-                 Done aDone)
+                 Done aDone,
+                 RelayAllowancePtr aAllowance)
 {
   aHead.id_ = ++impl_->lastId_;
   aHead.remainingMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -151,6 +170,7 @@
                          .count();
   auto source = std::make_shared<RelaySource>(
     impl_, std::move(aRequest), aHost, aHead, aDeadline, std::move(aDone));
+  source->SetAllowance(std::move(aAllowance));
   impl_->sources_[aHead.id_] = source;
   source->Start();
 }
--- a/src/proxy/RelayNode.h
+++ b/src/proxy/RelayNode.h
@@ -13,6 +13,7 @@
 #include "base/BootClock.h"
 #include "peer/PeerMessage.h"
 #include "proxy/IncomingRequest.h"
+#include "proxy/RelayAllowance.h"
 #include "proxy/RelayMessages.h"
 
 #include <boost/asio/io_context.hpp>
@@ -32,6 +33,10 @@
   std::string route_;
   TimePoint deadline_;
   bool once_ = false;
+  // Ends the relay instead of an answer: the request was not run.
+  std::function<void(ErrorKind)> refuse_;
+  // Sets the allowance that the bytes of the response need.
+  std::function<void(RelayAllowancePtr)> setAllowance_;
 };
 
 struct RelayHooks
@@ -47,6 +52,10 @@
   std::optional<Error> error_;
   ExecutionState execution_ = ExecutionState::NotRun;
   bool callerGone_ = false;
+  // The destination refused the request before it ran.
+  bool refused_ = false;
+  // A part of the caller's body was read and cannot be sent again.
+  bool bodyTaken_ = false;
   int status_ = 0;
   // Body bytes of both directions.
   std::uint64_t bytes_ = 0;
@@ -64,12 +73,13 @@
 
   // Relays the request; aHead.id_ is set here. The response head must arrive
   // by the deadline, and afterwards no pause may be longer than the progress
-  // limit.
+  // limit. The bytes of the request need the allowance; null for no cap.
   void Start(IncomingRequestPtr aRequest,
              const std::string& aHost,
              RelayRequestHead aHead,
              TimePoint aDeadline,
-             Done aDone);
+             Done aDone,
+             RelayAllowancePtr aAllowance = nullptr);
   void OnMessage(const PeerHello& aFrom, const PeerMessage& aMessage);
   // Ends all relays on the link.
   void OnLinkDown(const PeerHello& aPeer);
--- a/src/proxy/RelaySource.cc
+++ b/src/proxy/RelaySource.cc
@@ -37,7 +37,12 @@
       self->Fail({ ErrorKind::BadRequest, "the caller closed the connection" });
     }
   });
-  if (!node_->Send(host_, PeerMessageType::RelayHead, Encode(head_))) {
+  const std::string head = Encode(head_);
+  if (allowance_ && allowance_->Cover(head.size()) < head.size()) {
+    Fail({ ErrorKind::ShiftCapReached, "" });
+    return;
+  }
+  if (!node_->Send(host_, PeerMessageType::RelayHead, head)) {
     Fail({ ErrorKind::PeerUnreachable, "there is no link to " + host_ });
     return;
   }
@@ -52,10 +57,11 @@
 void
 RelaySource::PumpRequestBody()
 {
-  if (bodyPumping_ || bodyEnded_ || !sender_.MaySend()) {
+  if (bodyPumping_ || bodyEnded_ || unsent_ || !sender_.MaySend()) {
     return;
   }
   bodyPumping_ = true;
+  result_.bodyTaken_ = true;
   incoming_->ReadBody([self = shared_from_this()](
                         std::optional<BodyPiece> aPiece, const Error& aError) {
     self->bodyPumping_ = false;
@@ -74,9 +80,19 @@
 void
 RelaySource::SendPiece(BodyPiece aPiece)
 {
+  const std::size_t whole = aPiece.bytes_.size();
+  const std::size_t size = allowance_ ? allowance_->Cover(whole) : whole;
+  if (size < whole) {
+    // OnTimer sends the rest.
+    unsent_ = BodyPiece{ aPiece.bytes_.substr(size), aPiece.last_ };
+    aPiece.bytes_.resize(size);
+    aPiece.last_ = false;
+    if (size == 0) {
+      return;
+    }
+  }
   lastProgress_ = BootClock::now();
   bodyEnded_ = aPiece.last_;
-  const std::size_t size = aPiece.bytes_.size();
   result_.bytes_ += size;
   const RelayBodyPiece message{
     head_.id_, RelayDirection::Request, sender_.Take(size), std::move(aPiece)
@@ -181,6 +197,18 @@
   Finish();
 }
 
+void
+RelaySource::OnRefused(ErrorKind aKind)
+{
+  if (finished_ || headReceived_) {
+    return;
+  }
+  result_.execution_ = ExecutionState::NotRun;
+  result_.refused_ = true;
+  result_.error_ = Error{ aKind, "" };
+  Finish();
+}
+
 void
 RelaySource::Fail(const Error& aError)
 {
@@ -190,7 +218,7 @@
   result_.error_ = aError;
   node_->Send(host_,
               PeerMessageType::RelayEnd,
-              Encode(RelayEnd{ head_.id_, RelayDirection::Request }));
+              Encode(RelayEnd{ head_.id_, RelayDirection::Request, {} }));
   Finish();
 }
 
@@ -199,6 +227,7 @@
 {
   finished_ = true;
   timer_.cancel();
+  allowance_.reset();
   incoming_->SetOnCancelled(nullptr);
   node_->sources_.erase(head_.id_);
   done_(result_);
@@ -227,6 +256,14 @@
     Fail({ ErrorKind::BackendStalled, "" });
     return;
   }
+  if (unsent_ && sender_.MaySend()) {
+    BodyPiece rest = std::move(*unsent_);
+    unsent_.reset();
+    SendPiece(std::move(rest));
+    if (finished_) {
+      return;
+    }
+  }
   ArmTimer();
 }
 
--- a/src/proxy/RequestPipeline.h
+++ b/src/proxy/RequestPipeline.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace peridotsail {
 
@@ -44,6 +45,10 @@
   // Names of the backend servers that were tried for this request.
   std::set<std::string> tried_;
   bool relayed_ = false;
+  // Bytes of the head and of the body as far as they are known.
+  double requestBytes_ = 0;
+  // Regions that refused this request.
+  std::vector<std::string> triedRegions_;
 };
 
 struct ServerChoice
@@ -57,6 +62,19 @@
 {
   std::string host_;
   std::string region_;
+  // For the bytes of the request; null without a shift cap.
+  RelayAllowancePtr allowance_;
+  // Set when no region can serve the request; the rest is then empty.
+  std::optional<Refusal> refusal_;
+};
+
+// The destination's decision about a relayed request.
+struct RelayAdmission
+{
+  // Set when it is refused before it runs.
+  std::optional<ErrorKind> refusal_;
+  // For the bytes of the response; null without a shift cap.
+  RelayAllowancePtr allowance_;
 };
 
 // Each hook runs on the traffic thread.
@@ -79,8 +97,15 @@
   // Tells the outcome on a chosen server; runs once for each choice.
   std::function<void(const BackendServerConfig&, const ExchangeResult&)>
     onExchange_;
-  // A host of another region when the request must go there, or nothing.
+  // A host of another region when the request must go there, a refusal, or
+  // nothing when this region serves it.
   std::function<std::optional<RelayTarget>(const ServerQuery&)> chooseRelay_;
+  // The region of the target did not run the request. May be empty.
+  std::function<void(const std::string& aRegion)> onRelayRefused_;
+  // Admits a request that a host of another region relays. Empty: all.
+  std::function<RelayAdmission(const ServerQuery&,
+                               const std::string& aFromRegion)>
+    admitRelayed_;
   // Whether a further attempt may be made for an idempotent request or one
   // that was not run.
   std::function<bool(const ServerQuery&, const ExchangeResult&)> mayRetry_;
--- a/src/proxy/RequestRun.cc
+++ b/src/proxy/RequestRun.cc
@@ -7,6 +7,13 @@
 
 namespace peridotsail::detail {
 
+namespace {
+
+// Bytes that a header field takes in a relay message besides its text.
+constexpr std::size_t kFieldOverhead = 8;
+
+}
+
 RequestRun::RequestRun(std::shared_ptr<RequestPipeline::Impl> aPipeline,
                        IncomingRequestPtr aRequest)
   : pipeline_(std::move(aPipeline))
@@ -56,11 +63,28 @@
     Refuse(MakeRefusal(ErrorKind::ConfigurationMissing));
     return;
   }
-  if (CheckRoute() && CheckBody()) {
+  if (CheckRoute() && CheckBody() && CheckAdmission(aRelayed)) {
     ChooseServer();
   }
 }
 
+bool
+RequestRun::CheckAdmission(const RelayedRequest& aRelayed)
+{
+  if (!pipeline_->hooks_.admitRelayed_) {
+    return true;
+  }
+  RelayAdmission admission =
+    pipeline_->hooks_.admitRelayed_(query_, aRelayed.fromRegion_);
+  if (admission.refusal_) {
+    pipeline_->CountRefusal(*admission.refusal_);
+    aRelayed.refuse_(*admission.refusal_);
+    return false;
+  }
+  aRelayed.setAllowance_(std::move(admission.allowance_));
+  return true;
+}
+
 void
 RequestRun::AnswerLookup()
 {
@@ -167,17 +191,26 @@
     }
   }
   query_.deadline_ = start_ + limit;
+  const RequestHead& request = incoming_->Head();
+  std::size_t bytes = request.target_.size();
+  for (const HttpHeader& field : request.headers_) {
+    bytes += field.name_.size() + field.value_.size() + kFieldOverhead;
+  }
+  query_.requestBytes_ =
+    static_cast<double>(bytes + request.contentLength_.value_or(0));
 }
 
 void
 RequestRun::Dispatch()
 {
   const auto target = pipeline_->hooks_.chooseRelay_(query_);
-  if (target) {
+  if (!target) {
+    ChooseServer();
+  } else if (target->refusal_) {
+    Refuse(*target->refusal_);
+  } else {
     StartRelay(*target);
-    return;
   }
-  ChooseServer();
 }
 
 RequestHead
@@ -205,13 +238,20 @@
     aTarget.host_,
     std::move(head),
     query_.deadline_,
-    [self = shared_from_this()](const RelayResult& aResult) {
-      self->OnRelayDone(aResult);
-    });
+    [self = shared_from_this(), region = aTarget.region_](
+      const RelayResult& aResult) { self->OnRelayDone(region, aResult); },
+    aTarget.allowance_);
+}
+
+bool
+RequestRun::MaySteerAgain(const RelayResult& aResult) const
+{
+  return aResult.execution_ == ExecutionState::NotRun && !aResult.bodyTaken_ &&
+         !incoming_->HeadSent() && BootClock::now() < query_.deadline_;
 }
 
 void
-RequestRun::OnRelayDone(const RelayResult& aResult)
+RequestRun::OnRelayDone(const std::string& aRegion, const RelayResult& aResult)
 {
   if (!aResult.error_) {
     Finish(aResult.status_);
@@ -221,6 +261,14 @@
     incoming_->Abort();
     return;
   }
+  if (aResult.refused_ && pipeline_->hooks_.onRelayRefused_) {
+    pipeline_->hooks_.onRelayRefused_(aRegion);
+  }
+  if (MaySteerAgain(aResult)) {
+    query_.triedRegions_.push_back(aRegion);
+    Dispatch();
+    return;
+  }
   Refusal refusal = MakeRefusal(aResult.error_->kind_, aResult.error_->detail_);
   refusal.execution_ = aResult.execution_;
   Refuse(refusal);
--- a/src/proxy/RequestRun.h
+++ b/src/proxy/RequestRun.h
@@ -57,7 +57,10 @@
   void SetDeadline();
   void Dispatch();
   void StartRelay(const RelayTarget& aTarget);
-  void OnRelayDone(const RelayResult& aResult);
+  void OnRelayDone(const std::string& aRegion, const RelayResult& aResult);
+  // Whether another region or this one may serve the request instead.
+  bool MaySteerAgain(const RelayResult& aResult) const;
+  bool CheckAdmission(const RelayedRequest& aRelayed);
   void ChooseServer();
   void Run(const BackendServerConfig& aServer);
   void OnExchangeDone(const BackendServerConfig& aServer,
--- a/src/proxy/ServerSelector.cc
+++ b/src/proxy/ServerSelector.cc
@@ -24,7 +24,6 @@
   const auto ejected = ejectedUntil_.find(aServer.name_);
   return aServer.region_ == region_ &&
          !aConfiguration.IsDraining(DrainKind::BackendServer, aServer.name_) &&
-         !aConfiguration.IsDraining(DrainKind::Region, region_) &&
          (ejected == ejectedUntil_.end() || ejected->second <= aNow);
 }
 
@@ -40,6 +39,21 @@
     });
 }
 
+int
+ServerSelector::FreeSlots(const Configuration& aConfiguration,
+                          const std::string& aPool,
+                          TimePoint aNow) const
+{
+  int free = 0;
+  for (const BackendServerConfig& server : aConfiguration.backendServers_) {
+    if (server.pool_ == aPool && MayUse(aConfiguration, server, aNow)) {
+      const auto busy = inFlight_.find(server.name_);
+      free += server.slots_ - (busy == inFlight_.end() ? 0 : busy->second);
+    }
+  }
+  return free;
+}
+
 std::optional<BackendServerConfig>
 ServerSelector::Choose(const Configuration& aConfiguration,
                        const std::string& aPool,
--- a/src/proxy/ServerSelector.h
+++ b/src/proxy/ServerSelector.h
@@ -24,6 +24,11 @@
   bool HasServer(const Configuration& aConfiguration,
                  const std::string& aPool,
                  TimePoint aNow) const;
+  // Slots of the pool's usable servers that no request of this host occupies;
+  // negative when this host has sent more than they run at once.
+  int FreeSlots(const Configuration& aConfiguration,
+                const std::string& aPool,
+                TimePoint aNow) const;
   // Counts the request as in flight on the chosen server.
   std::optional<BackendServerConfig> Choose(const Configuration& aConfiguration,
                                             const std::string& aPool,
--- a/src/proxy/testing/RelayTest.cc
+++ b/src/proxy/testing/RelayTest.cc
@@ -98,7 +98,12 @@
       return true;
     };
     hooks.onRequest_ = [this](RelayedRequest aRelayed) {
+      if (refusal_) {
+        aRelayed.refuse_(*refusal_);
+        return;
+      }
       ++runs_;
+      aRelayed.setAllowance_(std::move(responseAllowance_));
       Echo(aRelayed.request_);
     };
     return hooks;
@@ -132,6 +137,8 @@
 
   boost::asio::io_context context_;
   std::function<Fault(int aNumber)> fault_;
+  std::optional<ErrorKind> refusal_;
+  RelayAllowancePtr responseAllowance_;
   bool linkDown_ = false;
   int sent_ = 0;
   int runs_ = 0;
@@ -257,3 +264,79 @@
     CHECK_FALSE(DecodeRelayRequestHead(valid.substr(0, size)));
   }
 }
+
+// Guards invariant 1 on the data path: both directions of a relay that is
+// larger than the caps' burst wait for tokens and still arrive whole.
+TEST_CASE("a relay under shift caps sends only bytes that have tokens")
+{
+  constexpr double kMbit = 8;
+  constexpr double kBytesPerSecond = kMbit * 125'000;
+  auto configuration = std::make_shared<Configuration>();
+  configuration->regions_ = { { "n", {}, 1, 0 }, { "s", {}, 1, 0 } };
+  configuration->shiftCaps_ = { { "n", "s", kMbit }, { "s", "n", kMbit } };
+  const TimePoint start = BootClock::now();
+  Network network;
+  const auto allow = [&](const std::string& aFrom, const std::string& aTo) {
+    auto steering = std::make_shared<HostSteering>(aFrom);
+    steering->Adopt(configuration, start - std::chrono::seconds(1));
+    steering->SetSlot(1, TimePoint::max(), start - std::chrono::seconds(1));
+    auto ticket = steering->Caps().Reserve(aTo, 1000, BootClock::now());
+    REQUIRE(ticket);
+    return std::make_pair(steering,
+                          std::make_shared<RelayAllowance>(steering, *ticket));
+  };
+  auto [source, allowance] = allow("n", "s");
+  auto [destination, responseAllowance] = allow("s", "n");
+  network.responseAllowance_ = std::move(responseAllowance);
+  const auto request =
+    std::make_shared<FakeRequest>(network.context_, LargeBody());
+  std::optional<RelayResult> result;
+  RelayRequestHead head;
+  head.head_ = request->Head();
+  network.source_.Start(
+    request,
+    "h2",
+    head,
+    BootClock::now() + std::chrono::minutes(5),
+    [&](const RelayResult& aResult) { result = aResult; },
+    std::move(allowance));
+  network.context_.run();
+  REQUIRE(result);
+  CHECK_FALSE(result->error_);
+  const double size = 26 * 32 * 1024;
+  CHECK(static_cast<double>(request->received_.size()) == size);
+  const double bound =
+    kBytesPerSecond * (1 + ToSeconds(BootClock::now() - start));
+  for (const auto& steering : { source, destination }) {
+    const ShiftPairStatus status = steering->Caps().Status().front();
+    CHECK(status.sentBytes_ > size);
+    CHECK(status.sentBytes_ <= bound);
+    CHECK(status.heldBytes_ <= kBytesPerSecond / 2);
+  }
+}
+
+// Guards invariant 6: a request that the destination refused is known as not
+// run, with the destination's reason.
+TEST_CASE("a relay that the destination refuses was not run")
+{
+  Network network;
+  network.refusal_ = ErrorKind::RegionFull;
+  const auto request =
+    std::make_shared<FakeRequest>(network.context_, LargeBody());
+  std::optional<RelayResult> result;
+  RelayRequestHead head;
+  head.head_ = request->Head();
+  network.source_.Start(request,
+                        "h2",
+                        head,
+                        BootClock::now() + std::chrono::minutes(5),
+                        [&](const RelayResult& aResult) { result = aResult; });
+  network.context_.run();
+  REQUIRE(result);
+  REQUIRE(result->error_);
+  CHECK(result->error_->kind_ == ErrorKind::RegionFull);
+  CHECK(result->execution_ == ExecutionState::NotRun);
+  CHECK(result->refused_);
+  CHECK(network.runs_ == 0);
+  CHECK(network.source_.InFlight() + network.destination_.InFlight() == 0);
+}
--- a/src/steering/HostSteering.cc
+++ b/src/steering/HostSteering.cc
@@ -138,16 +138,23 @@
   }
   for (const RegionConfig& region : configuration_->regions_) {
     RegionShare share = weights_.Share(region.name_);
-    for (const RegionDrain& drain : drains_) {
-      if (drain.region_ == region.name_) {
-        share.keep_ =
-          std::min(share.keep_, drain.plan_.KeepAt(aNow - drain.start_));
-      }
-    }
+    share.keep_ = KeptPart(region.name_, aNow);
     lookup_.SetRegionShare(region.name_, share);
   }
 }
 
+double
+HostSteering::KeptPart(const std::string& aRegion, TimePoint aNow) const
+{
+  double keep = weights_.Share(aRegion).keep_;
+  for (const RegionDrain& drain : drains_) {
+    if (drain.region_ == aRegion) {
+      keep = std::min(keep, drain.plan_.KeepAt(aNow - drain.start_));
+    }
+  }
+  return keep;
+}
+
 LookupAnswer
 HostSteering::Lookup(std::string_view aBlock) const
 {
--- a/src/steering/HostSteering.h
+++ b/src/steering/HostSteering.h
@@ -63,6 +63,8 @@
   // Moves weights and drains.
   void Tick(TimePoint aNow);
 
+  // The part of its own blocks that a region keeps, drains included.
+  double KeptPart(const std::string& aRegion, TimePoint aNow) const;
   LookupAnswer Lookup(std::string_view aBlock) const;
   // The own region of the request is set here. A request that is served here
   // counts against the region's capacity.
