--- a/src/steering/testing/SteeringSimulation.h
+++ b/src/steering/testing/SteeringSimulation.h
@@ -2,8 +2,8 @@
 
 // A seeded simulation of three regions with seven entry hosts: callers with
 // cached look-up answers, pools with slots and queues, cold caches, relays with
-// distance, and measurements that lag. One region loses three of four servers for
-// a while; later it is drained. Compares ways of steering in one run.
+// distance, and measurements that lag. One region loses three of four servers
+// for a while; later it is drained. Compares ways of steering in one run.
 
 #include <cstdint>
 #include <string_view>
