--- a/src/steering/testing/SteeringSimulation.cc
+++ b/src/steering/testing/SteeringSimulation.cc
@@ -63,7 +63,6 @@
   int slots_ = 0;
   int busy_ = 0;
   std::deque<RequestPtr> queue_;
-
   double Utilization() const
   {
     return double(busy_ + int(queue_.size())) / std::max(1, slots_);
@@ -156,7 +155,6 @@
     TimePoint at_;
     std::uint64_t order_;
     std::function<void()> run_;
-
     bool operator<(const Event& aOther) const
     {
       return at_ != aOther.at_ ? at_ > aOther.at_ : order_ > aOther.order_;
