Merge steering into the entry host

The shares of shift caps and region capacity follow the slot lease instead of the host list's order; free slots come from the backend pools; requests that are relayed to the holder of their slot in another region reserve room under the shift cap too. A region's drain no longer stops its servers at once.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -182,7 +182,7 @@
           peerNode_.Send(peer, { PeerMessageType::QuarantineNotice, aNotice });
         }
       })
-  , hooks_(settings_, configuration_, directory_, budgets_, backends_)
+  , hooks_(settings_, configuration_, directory_, budgets_, backends_, metrics_)
   , peerNode_(peer_, MakePeerOptions(), MakePeerHooks())
   , relays_(traffic_.Context(), MakeRelayHooks())
   , pipeline_(traffic_.Context(), {}, MakePipelineHooks(), relays_, metrics_)
@@ -316,6 +316,7 @@
         }
       }
       peerNode_.SetPeers(std::move(peers));
+      hooks_.OnSnapshotChanged();
     });
   };
   hooks.onLeavingServers_ = [this](const std::string& aPool,
@@ -348,6 +349,7 @@
     PostToTraffic([this, configuration] {
       budgets_.SetConfiguration(*configuration);
       backends_.SetConfiguration(configuration);
+      hooks_.OnSnapshotChanged();
     });
     metrics_
       .Gauge("peridotsail_configuration_version",
@@ -370,6 +372,7 @@
     PostToTraffic([this, aValidity] {
       budgets_.SetSlot(aValidity);
       slotDirectory_.SetSlot(aValidity);
+      hooks_.SetSlot(aValidity);
     });
   };
   return hooks;
--- a/src/app/TrafficHooks.cc
+++ b/src/app/TrafficHooks.cc
@@ -2,8 +2,6 @@
 
 #include "base/EventLog.h"
 
-#include <algorithm>
-
 namespace peridotsail {
 
 namespace {
@@ -44,12 +42,13 @@
                            const Snapshot<Configuration>& aConfiguration,
                            const HostDirectory& aDirectory,
                            BudgetKeeper& aBudgets,
-                           BackendDispatcher& aBackends)
+                           BackendDispatcher& aBackends,
+                           Metrics& aMetrics)
   : settings_(aSettings)
   , configuration_(aConfiguration)
-  , directory_(aDirectory)
   , budgets_(aBudgets)
   , backends_(aBackends)
+  , steering_(aSettings, aConfiguration, aDirectory, aBackends, aMetrics)
 {
 }
 
@@ -58,7 +57,9 @@
 {
   PipelineHooks hooks;
   hooks.configuration_ = [this] { return configuration_.Get(); };
-  hooks.lookup_ = [this](const std::string& aBlock) { return Lookup(aBlock); };
+  hooks.lookup_ = [this](const std::string& aBlock) {
+    return steering_.Lookup(aBlock);
+  };
   hooks.authenticate_ = [this](const std::string* aAuthorization,
                                Error& aError) {
     return Authenticate(aAuthorization, aError);
@@ -77,7 +78,19 @@
     OnExchange(aQuery, aServer, aResult);
   };
   hooks.chooseRelay_ = [this](const ServerQuery& aQuery) {
-    return ChooseRelay(aQuery);
+    return steering_.ChooseRelay(aQuery);
+  };
+  hooks.onRelayRefused_ = [this](const std::string& aRegion) {
+    steering_.OnRelayRefused(aRegion);
+  };
+  hooks.reserveRelay_ = [this](const std::string& aHost,
+                               double aBytes,
+                               RelayAllowancePtr& aAllowance) {
+    return steering_.ReserveRelay(aHost, aBytes, aAllowance);
+  };
+  hooks.admitRelayed_ = [this](const ServerQuery& aQuery,
+                               const std::string& aFromRegion) {
+    return steering_.Admit(aQuery, aFromRegion);
   };
   hooks.mayRetry_ = [this](const ServerQuery& aQuery, const ExchangeResult&) {
     return backends_.MayRetry(ToBackendRequest(aQuery));
@@ -91,6 +104,7 @@
 void
 TrafficHooks::OnLink(const PeerHello& aPeer, bool aUp)
 {
+  steering_.OnLink(aPeer, aUp);
   if (aUp) {
     linked_[aPeer.hostName_] = aPeer;
   } else {
@@ -119,19 +133,6 @@
   keyTable_.SetFreshUntil(aState.freshUntil_);
 }
 
-std::string
-TrafficHooks::Lookup(const std::string& aBlock) const
-{
-  const ConfigurationPtr configuration = configuration_.Get();
-  const auto hosts =
-    directory_.HostsFor(aBlock, configuration.get(), BootClock::now());
-  LogEvent(Event::LookupDecision,
-           { { "block", aBlock },
-             { "hosts", hosts.size() },
-             { "first", hosts.empty() ? "" : hosts.front().name_ } });
-  return LookupJson(hosts, settings_.lookupTtl_, configuration.get());
-}
-
 std::optional<std::string>
 TrafficHooks::Authenticate(const std::string* aAuthorization,
                            Error& aError) const
@@ -174,39 +175,4 @@
   backends_.OnOutcome(ToBackendRequest(aQuery), aServer.name_, outcome);
 }
 
-bool
-TrafficHooks::RegionHasPool(const Configuration& aConfiguration,
-                            const std::string& aRegion,
-                            const std::string& aPool)
-{
-  const auto& servers = aConfiguration.backendServers_;
-  return !aConfiguration.IsDraining(DrainKind::Region, aRegion) &&
-         std::any_of(servers.begin(),
-                     servers.end(),
-                     [&](const BackendServerConfig& aServer) {
-                       return aServer.pool_ == aPool &&
-                              aServer.region_ == aRegion &&
-                              !aConfiguration.IsDraining(
-                                DrainKind::BackendServer, aServer.name_);
-                     });
-}
-
-std::optional<RelayTarget>
-TrafficHooks::ChooseRelay(const ServerQuery& aQuery) const
-{
-  const Configuration& configuration = *aQuery.configuration_;
-  const std::string& pool = aQuery.route_->pool_;
-  backends_.SetConfiguration(aQuery.configuration_);
-  if (backends_.HasServer(pool)) {
-    return std::nullopt;
-  }
-  for (const auto& [name, peer] : linked_) {
-    if (peer.region_ != settings_.region_ &&
-        RegionHasPool(configuration, peer.region_, pool)) {
-      return RelayTarget{ name, peer.region_ };
-    }
-  }
-  return std::nullopt;
-}
-
 }
--- a/src/app/TrafficHooks.h
+++ b/src/app/TrafficHooks.h
@@ -8,6 +8,7 @@
 #include "app/HostDirectory.h"
 #include "app/Settings.h"
 #include "app/Snapshots.h"
+#include "app/SteeringWiring.h"
 #include "backend/BackendDispatcher.h"
 #include "keys/KeyTable.h"
 #include "peer/PeerMessage.h"
@@ -25,15 +26,19 @@
                const Snapshot<Configuration>& aConfiguration,
                const HostDirectory& aDirectory,
                BudgetKeeper& aBudgets,
-               BackendDispatcher& aBackends);
+               BackendDispatcher& aBackends,
+               Metrics& aMetrics);
 
   PipelineHooks Make();
+  // A configuration came into force or the host list changed.
+  void OnSnapshotChanged() { steering_.Refresh(); }
   // A link to a peer came up or went down.
   void OnLink(const PeerHello& aPeer, bool aUp);
+  // The slot that this host holds changed.
+  void SetSlot(const SlotValidity& aValidity) { steering_.SetSlot(aValidity); }
   void SetKeyState(const KeyState& aState);
 
 private:
-  std::string Lookup(const std::string& aBlock) const;
   std::optional<std::string> Authenticate(const std::string* aAuthorization,
                                           Error& aError) const;
   void ChooseServer(const ServerQuery& aQuery,
@@ -41,20 +46,15 @@
   void OnExchange(const ServerQuery& aQuery,
                   const BackendServerConfig& aServer,
                   const ExchangeResult& aResult);
-  std::optional<RelayTarget> ChooseRelay(const ServerQuery& aQuery) const;
-  // Whether another region has a backend server of the pool.
-  static bool RegionHasPool(const Configuration& aConfiguration,
-                            const std::string& aRegion,
-                            const std::string& aPool);
 
   const Settings& settings_;
   const Snapshot<Configuration>& configuration_;
-  const HostDirectory& directory_;
   BudgetKeeper& budgets_;
   KeyTable keyTable_;
   ConfigurationPtr keysOf_;
   BackendDispatcher& backends_;
   std::map<std::string, PeerHello> linked_;
+  SteeringWiring steering_;
 };
 
 }
--- a/src/backend/BackendDispatcher.cc
+++ b/src/backend/BackendDispatcher.cc
@@ -16,16 +16,15 @@
   aPool.servers_.clear();
   std::vector<BackendServerConfig> servers;
   std::set<std::string> leaving = aPool.listedLeaving_;
-  const bool regionDrains =
-    configuration_->IsDraining(DrainKind::Region, options_.region_);
+  // A drain of the region moves its requests away gradually by steering and
+  // does not stop its servers at once.
   for (const BackendServerConfig& server : configuration_->backendServers_) {
     if (server.pool_ != aConfig.name_ || server.region_ != options_.region_) {
       continue;
     }
     servers.push_back(server);
     aPool.servers_[server.name_] = server;
-    if (regionDrains ||
-        configuration_->IsDraining(DrainKind::BackendServer, server.name_)) {
+    if (configuration_->IsDraining(DrainKind::BackendServer, server.name_)) {
       leaving.insert(server.name_);
     }
   }
@@ -272,6 +271,17 @@
          it->second.pool_.HasServerInUse(BootClock::now());
 }
 
+int
+BackendDispatcher::FreeSlots(const std::string& aPool) const
+{
+  const auto it = impl_->pools_.find(aPool);
+  if (it == impl_->pools_.end()) {
+    return 0;
+  }
+  const int waiting = static_cast<int>(it->second.queue_.size());
+  return it->second.pool_.FreeSlots(BootClock::now()) - waiting;
+}
+
 void
 BackendDispatcher::Choose(BackendRequest aRequest,
                           std::function<void(const BackendDecision&)> aCallback)
--- a/src/backend/BackendDispatcher.h
+++ b/src/backend/BackendDispatcher.h
@@ -79,6 +79,9 @@
   void SetHosts(int aRank, int aCount);
   // False: no server of the pool in this region may get work.
   bool HasServer(const std::string& aPool) const;
+  // Concurrent requests that the pool's servers can run beyond this host's own
+  // ones and those that wait here; negative when more wait.
+  int FreeSlots(const std::string& aPool) const;
   // Calls back at once or when a server is free or the request is refused.
   void Choose(BackendRequest aRequest,
               std::function<void(const BackendDecision&)> aCallback);
--- a/src/backend/BackendPool.cc
+++ b/src/backend/BackendPool.cc
@@ -444,6 +444,17 @@
   return slots;
 }
 
+int
+BackendPool::FreeSlots(TimePoint aNow) const
+{
+  int busy = 0;
+  const bool softCounts = SoftReasonsCount(aNow);
+  for (const Server& server : servers_) {
+    busy += InUse(server, aNow, softCounts) ? server.ownInFlight_ : 0;
+  }
+  return SlotsInUse(aNow) - busy;
+}
+
 bool
 BackendPool::IsDown(const std::string& aServer) const
 {
--- a/src/backend/BackendPool.h
+++ b/src/backend/BackendPool.h
@@ -187,6 +187,8 @@
   bool HasServerInUse(TimePoint aNow) const;
   // The concurrent requests that the servers in use can run.
   int SlotsInUse(TimePoint aNow) const;
+  // SlotsInUse without this host's own requests on those servers.
+  int FreeSlots(TimePoint aNow) const;
   bool IsDown(const std::string& aServer) const;
   std::vector<ServerStatus> Status(TimePoint aNow) const;
 
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -61,6 +61,11 @@
   BackendServerState = 8001,
   RequestQuarantined = 8002,
   BackendConnectionSilent = 8003,
+  // 9000: steering
+  RegionWeightChanged = 9001,
+  RegionDrainPlanned = 9002,
+  RelayAdmission = 9003,
+  SteeringDecision = 9004,
 };
 
 enum class LogLevel
--- a/src/platform/testing/StoreClientTest.cc
+++ b/src/platform/testing/StoreClientTest.cc
@@ -63,15 +63,17 @@
 TEST_CASE("a transaction takes effect only when its comparison holds")
 {
   StoreFixture store;
-  const auto first = store.Commit({ { { "p/a", 0 } }, { { "p/a", "1", 0 } }, {} });
+  const auto first =
+    store.Commit({ { { "p/a", 0 } }, { { "p/a", "1", 0 } }, {} });
   CHECK(first.succeeded_);
   CHECK_FALSE(
     store.Commit({ { { "p/a", 0 } }, { { "p/a", "2", 0 } }, {} }).succeeded_);
-  CHECK(store
-          .Commit({ { { "p/a", first.revision_ } },
-                    { { "p/a", "3", 0 }, { "p/b", std::string("\0\xff", 2), 0 } },
-                    {} })
-          .succeeded_);
+  CHECK(
+    store
+      .Commit({ { { "p/a", first.revision_ } },
+                { { "p/a", "3", 0 }, { "p/b", std::string("\0\xff", 2), 0 } },
+                {} })
+      .succeeded_);
   std::optional<std::vector<StoreRecord>> records;
   store.client_->GetPrefix(
     "p/", [&](auto aRecords, const Error&) { records = aRecords; });
--- a/src/proxy/OnceRun.cc
+++ b/src/proxy/OnceRun.cc
@@ -71,6 +71,15 @@
     Refuse(refusal);
     return;
   }
+  RelayAllowancePtr allowance;
+  if (pipeline_->hooks_.reserveRelay_ &&
+      !pipeline_->hooks_.reserveRelay_(
+        holder, query_.requestBytes_, allowance)) {
+    Refusal refusal = MakeRefusal(ErrorKind::ShiftCapReached);
+    refusal.execution_ = ExecutionState::Unknown;
+    Refuse(refusal);
+    return;
+  }
   LogEvent(
     Event::OnceRelayed,
     { { "key", onceKey_ }, { "slot", route.slot_ }, { "to_host", holder } });
@@ -85,8 +94,27 @@
     std::move(head),
     query_.deadline_,
     [self = shared_from_this()](const RelayResult& aResult) {
-      self->OnRelayDone(aResult);
-    });
+      self->OnOnceRelayDone(aResult);
+    },
+    allowance);
+}
+
+void
+RequestRun::OnOnceRelayDone(const RelayResult& aResult)
+{
+  if (!aResult.error_) {
+    Finish(aResult.status_);
+    return;
+  }
+  if (aResult.callerGone_) {
+    incoming_->Abort();
+    return;
+  }
+  // An earlier sending with the same key may have run, so this host never
+  // states not-run for a request that it did not get to the holder.
+  Refusal refusal = MakeRefusal(aResult.error_->kind_, aResult.error_->detail_);
+  refusal.execution_ = ExecutionState::Unknown;
+  Refuse(refusal);
 }
 
 void
--- a/src/proxy/RequestRun.h
+++ b/src/proxy/RequestRun.h
@@ -70,7 +70,12 @@
   // Ends the claim of a request that reached no backend server.
   void AbandonClaim();
   void StartRelay(const RelayTarget& aTarget);
-  void OnRelayDone(const RelayResult& aResult);
+  void OnRelayDone(const std::string& aRegion, const RelayResult& aResult);
+  // For a request that was relayed to the holder of its slot.
+  void OnOnceRelayDone(const RelayResult& aResult);
+  // Whether another region or this one may serve the request instead.
+  bool MaySteerAgain(const RelayResult& aResult) const;
+  bool CheckAdmission(const RelayedRequest& aRelayed);
   void ChooseServer();
   void Run(const BackendServerConfig& aServer);
   void OnExchangeDone(const BackendServerConfig& aServer,
