Decode CBOR from other processes in one bounded place

Cause: the depth check of CBOR stood in three slices, and frames and notices from peers were decoded without it, so a peer with the token could exhaust the stack with a message of array headers. Change: DecodeBoundedCbor in base, used by all decoders.

--- a/src/backend/Quarantine.cc
+++ b/src/backend/Quarantine.cc
@@ -1,5 +1,6 @@
 #include "backend/Quarantine.h"
 
+#include "base/BoundedCbor.h"
 #include "base/Hash.h"
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 constexpr std::size_t kLongestServerName = 100;
 constexpr std::size_t kMostNoticeBytes = 4096;
 constexpr std::size_t kMostServerDeaths = 1024;
+// The notice and its list of servers.
+constexpr int kMaxDepth = 2;
 
 bool
 IsFingerprint(const std::string& aText)
@@ -63,14 +66,10 @@
   if (aBytes.size() > kMostNoticeBytes) {
     return std::nullopt;
   }
-  nlohmann::json json;
-  try {
-    json = nlohmann::json::from_cbor(aBytes, true, false);
-  } catch (const nlohmann::json::exception&) {
-    // Thrown for a container with an excessive size, although exceptions are
-    // off.
-    return std::nullopt;
-  }
+  const std::string_view bytes(reinterpret_cast<const char*>(aBytes.data()),
+                               aBytes.size());
+  const nlohmann::json json =
+    DecodeBoundedCbor(bytes, kMaxDepth).value_or(nullptr);
   if (!json.is_object() || json.value("type", nlohmann::json()) !=
                              nlohmann::json("QuarantineNotice")) {
     return std::nullopt;
--- /dev/null
+++ b/src/base/BoundedCbor.cc
@@ -0,0 +1,62 @@
+#include "base/BoundedCbor.h"
+
+namespace peridotsail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Stops the library's reader at the depth limit.
+class DepthCheck : public nlohmann::json_sax<Json>
+{
+public:
+  explicit DepthCheck(int aMaxDepth)
+    : maxDepth_(aMaxDepth)
+  {
+  }
+
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= maxDepth_; }
+  bool end_object() override { return --depth_ >= 0; }
+  bool start_array(std::size_t) override { return ++depth_ <= maxDepth_; }
+  bool end_array() override { return --depth_ >= 0; }
+  bool parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override
+  {
+    return false;
+  }
+
+private:
+  int maxDepth_;
+  int depth_ = 0;
+};
+
+}
+
+std::optional<nlohmann::json>
+DecodeBoundedCbor(std::string_view aBytes, int aMaxDepth)
+{
+  // The reader throws for excessive sizes although exceptions are switched off.
+  try {
+    DepthCheck check(aMaxDepth);
+    if (!Json::sax_parse(
+          aBytes.begin(), aBytes.end(), &check, Json::input_format_t::cbor)) {
+      return std::nullopt;
+    }
+    Json value = Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+    return value.is_discarded() ? std::nullopt
+                                : std::optional(std::move(value));
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}
--- a/src/budget/TokenMessages.cc
+++ b/src/budget/TokenMessages.cc
@@ -1,5 +1,7 @@
 #include "budget/TokenMessages.h"
 
+#include "base/BoundedCbor.h"
+
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -184,57 +186,22 @@
   return Json::to_cbor(list);
 }
 
-// Refuses deep nesting, on which the recursive CBOR parser would use up the
-// stack, before the document is built.
-class DepthCheck : public nlohmann::json_sax<Json>
-{
-public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return false; }
-  bool key(string_t&) override { return false; }
-  bool end_object() override { return false; }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool end_array() override
-  {
-    --depth_;
-    return true;
-  }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const nlohmann::detail::exception&) override
-  {
-    return false;
-  }
-
-private:
-  // Message, entry, list of returns, return.
-  static constexpr int kMaxDepth = 4;
-  int depth_ = 0;
-};
+// Message, entry, list of returns, return.
+constexpr int kMaxDepth = 4;
 
 template<typename Message>
 std::optional<Message>
 Decode(const std::uint8_t* aData, std::size_t aSize)
 {
-  DepthCheck check;
-  if (!Json::sax_parse(
-        aData, aData + aSize, &check, nlohmann::detail::input_format_t::cbor)) {
-    return std::nullopt;
-  }
-  const Json list = Json::from_cbor(aData, aData + aSize, true, false);
-  if (!list.is_array() || list.size() > kMaxTokenEntries) {
+  const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
+  const std::optional<Json> list = DecodeBoundedCbor(bytes, kMaxDepth);
+  if (!list || !list->is_array() || list->size() > kMaxTokenEntries) {
     return std::nullopt;
   }
   Message message;
-  message.entries_.resize(list.size());
-  for (std::size_t i = 0; i < list.size(); ++i) {
-    if (!FromJson(list[i], message.entries_[i])) {
+  message.entries_.resize(list->size());
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    if (!FromJson((*list)[i], message.entries_[i])) {
       return std::nullopt;
     }
   }
--- a/src/config/ConfigurationDelta.cc
+++ b/src/config/ConfigurationDelta.cc
@@ -1,5 +1,6 @@
 #include "config/ConfigurationDelta.h"
 
+#include "base/BoundedCbor.h"
 #include "base/Hash.h"
 #include "config/KeyedDocument.h"
 
@@ -11,6 +12,9 @@
 
 using Json = nlohmann::json;
 
+// A configuration is nested less deeply.
+constexpr int kMaxDepth = 16;
+
 Json
 KeyedOf(const ConfigurationSnapshot* aSnapshot)
 {
@@ -73,7 +77,7 @@
 ApplyDelta(const ConfigurationSnapshot* aBase, std::string_view aBytes)
 {
   DeltaOutcome outcome;
-  const std::optional<Json> delta = detail::DecodeBoundedCbor(aBytes);
+  const std::optional<Json> delta = DecodeBoundedCbor(aBytes, kMaxDepth);
   if (!delta || !HasShape(*delta)) {
     return outcome;
   }
--- a/src/config/KeyedDocument.cc
+++ b/src/config/KeyedDocument.cc
@@ -7,7 +7,6 @@
 using Json = nlohmann::json;
 
 // A delta nests its fields five levels deep; the rest is reserve.
-constexpr int kMaxDepth = 16;
 
 std::string
 TextField(const Json& aItem, const char* aField)
@@ -33,33 +32,6 @@
   return TextField(aItem, "name");
 }
 
-// Stops the library's reader at the depth limit.
-class DepthCheck : public nlohmann::json_sax<Json>
-{
-public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return --depth_ >= 0; }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool end_array() override { return --depth_ >= 0; }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const nlohmann::detail::exception&) override
-  {
-    return false;
-  }
-
-private:
-  int depth_ = 0;
-};
-
 }
 
 Json
@@ -117,21 +89,4 @@
   return aDocument.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::optional<Json>
-DecodeBoundedCbor(std::string_view aBytes)
-{
-  DepthCheck check;
-  if (!Json::sax_parse(
-        aBytes.begin(), aBytes.end(), &check, Json::input_format_t::cbor)) {
-    return std::nullopt;
-  }
-  // from_cbor throws for excessive sizes although exceptions are switched off.
-  try {
-    Json value = Json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-    return value.is_discarded() ? std::nullopt : std::optional(value);
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 }
--- a/src/config/KeyedDocument.h
+++ b/src/config/KeyedDocument.h
@@ -23,10 +23,4 @@
 std::string
 CanonicalText(const nlohmann::json& aDocument);
 
-// Decodes CBOR from a peer. Returns nothing when it is malformed or nested
-// deeper than a configuration can be: the library's reader recurses once for
-// each level, so unbounded nesting would exhaust the stack.
-std::optional<nlohmann::json>
-DecodeBoundedCbor(std::string_view aBytes);
-
 }
--- a/src/once/ClaimSegment.cc
+++ b/src/once/ClaimSegment.cc
@@ -1,5 +1,6 @@
 #include "once/ClaimSegment.h"
 
+#include "base/BoundedCbor.h"
 #include "base/Hash.h"
 
 #include <exception>
@@ -20,42 +21,8 @@
 constexpr std::size_t kEntryOverhead = 40;
 constexpr std::size_t kDigestDigits = 32;
 constexpr std::int64_t kMaxMilliseconds = 86'400'000;
-
-// Refuses input with deep nesting before the recursive parser of the library
-// sees it: a record of a megabyte of array headers would exhaust the stack.
-class DepthCheck : public nlohmann::json_sax<Json>
-{
-public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool key(string_t&) override { return true; }
-  bool start_object(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool start_array(std::size_t) override { return ++depth_ <= kMaxDepth; }
-  bool end_object() override { return Leave(); }
-  bool end_array() override { return Leave(); }
-  bool parse_error(std::size_t,
-                   const std::string&,
-                   const nlohmann::detail::exception&) override
-  {
-    return false;
-  }
-
-private:
-  static constexpr int kMaxDepth = 4;
-
-  bool Leave()
-  {
-    --depth_;
-    return true;
-  }
-
-  int depth_ = 0;
-};
+// Record, list of entries, entry, outcome.
+constexpr int kMaxDepth = 4;
 
 std::int64_t
 ToMilliseconds(Duration aDuration)
@@ -220,12 +187,12 @@
 ClaimSegment::Decode(std::string_view aValue, std::string& aReason)
 {
   try {
-    DepthCheck check;
-    if (!Json::sax_parse(aValue, &check, Json::input_format_t::cbor)) {
+    const std::optional<Json> map = DecodeBoundedCbor(aValue, kMaxDepth);
+    if (!map) {
       aReason = "not a complete CBOR value of bounded depth";
       return std::nullopt;
     }
-    return DecodeMap(Json::from_cbor(aValue));
+    return DecodeMap(*map);
   } catch (const std::exception& e) {
     aReason = e.what();
     return std::nullopt;
--- a/src/peer/CborReader.h
+++ b/src/peer/CborReader.h
@@ -8,8 +8,9 @@
 //   message.name_ = reader.Text("name", 100);
 //   if (!reader.Valid()) { return std::nullopt; }
 
+#include "base/BoundedCbor.h"
+
 #include <cstdint>
-#include <exception>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -20,7 +21,7 @@
 {
 public:
   explicit CborReader(std::string_view aBytes)
-    : map_(Parse(aBytes))
+    : map_(DecodeBoundedCbor(aBytes, kMaxDepth).value_or(nullptr))
     , valid_(map_.is_object())
   {
   }
@@ -112,16 +113,8 @@
   }
 
 private:
-  // from_cbor throws for excessive sizes although exceptions are switched off.
-  static nlohmann::json Parse(std::string_view aBytes)
-  {
-    try {
-      return nlohmann::json::from_cbor(
-        aBytes.begin(), aBytes.end(), true, false);
-    } catch (const std::exception&) {
-      return nullptr;
-    }
-  }
+  // A message, its lists, their items and one level for a slice's own use.
+  static constexpr int kMaxDepth = 8;
 
   const nlohmann::json* Find(const char* aField) const
   {
