--- a/src/app/testing/FailureTest.cc
+++ b/src/app/testing/FailureTest.cc
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
+#include <thread>
 
 using namespace peridotsail;
 using nlohmann::json;
@@ -24,6 +26,68 @@
   return addresses;
 }
 
+// Orders in flight at the same time, and how long each takes.
+constexpr int kKeys = 6;
+constexpr int kSlowMs = 1000;
+
+// The status of an order through the host; 0 when the connection was cut.
+int
+Order(const TestHost& aHost, const std::string& aKey, int aDelayMs = 0)
+{
+  const HttpRequest request{
+    "POST",
+    "/stamps/order",
+    { { "Authorization", std::string("Bearer ") + kTestKey },
+      { "Idempotency-Key", aKey },
+      { "X-Fake-Delay-Ms", std::to_string(aDelayMs) } },
+    "one stamp"
+  };
+  const auto response = CallOnce(aHost.callers_, request);
+  return response ? response->status_ : 0;
+}
+
+// Sends each order through all hosts at the same time.
+void
+OrderAtOnce(const TestSystem& aSystem,
+            const std::vector<std::string>& aKeys,
+            int aDelayMs)
+{
+  std::vector<std::thread> callers;
+  callers.reserve(aKeys.size() * aSystem.hosts_.size());
+  for (const std::string& key : aKeys) {
+    for (const TestHost& host : aSystem.hosts_) {
+      callers.emplace_back(
+        [&host, &key, aDelayMs] { Order(host, key, aDelayMs); });
+    }
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+}
+
+// How often the backend servers ran each order.
+std::map<std::string, int>
+RunsByKey(const TestSystem& aSystem)
+{
+  std::map<std::string, int> runs;
+  for (const TestBackend& backend : aSystem.backends_) {
+    for (const auto& [key, count] : aSystem.SeenBy(backend)["runs"].items()) {
+      runs[key] += count.get<int>();
+    }
+  }
+  return runs;
+}
+
+int
+TotalRuns(const TestSystem& aSystem)
+{
+  int total = 0;
+  for (const auto& [key, count] : RunsByKey(aSystem)) {
+    total += count;
+  }
+  return total;
+}
+
 }
 
 // Guards invariant 9 under load: with SIGTERM no caller sees a failure.
@@ -60,6 +124,38 @@
   }
 }
 
+// Guards invariant 7: the same order through different hosts, at the same time
+// and after the loss of a host, never runs twice.
+TEST_CASE("a non-idempotent request runs at most once through any hosts")
+{
+  TestSystem system(PERIDOTSAIL_BIN_DIR, kFirstPort + 3 * kPortsPerCase, 2);
+  REQUIRE(system.Start());
+  for (const TestHost& host : system.hosts_) {
+    CHECK(WaitUntil([&] { return Order(host, "ready") == 200; }));
+  }
+  for (const TestHost& host : system.hosts_) {
+    CHECK(Order(host, "again") == 200);
+  }
+  OrderAtOnce(system, { "at-once" }, 0);
+  // Orders in flight while their hosts may be lost.
+  std::vector<std::string> keys;
+  for (int i = 0; i < kKeys; ++i) {
+    keys.push_back("lost-" + std::to_string(i));
+  }
+  std::thread orders([&] { OrderAtOnce(system, keys, kSlowMs); });
+  CHECK(WaitUntil([&] { return TotalRuns(system) > 3; }));
+  system.hosts_[0].process_->Signal(SIGKILL);
+  orders.join();
+  OrderAtOnce(system, keys, 0);
+  const std::map<std::string, int> runs = RunsByKey(system);
+  for (const auto& [key, count] : runs) {
+    INFO(key);
+    CHECK(count == 1);
+  }
+  CHECK(runs.count("again") == 1);
+  CHECK(runs.count("at-once") == 1);
+}
+
 // Guards the service during an outage of the store.
 TEST_CASE("reads go on while the store is out")
 {
--- a/src/budget/testing/InvariantTest.cc
+++ b/src/budget/testing/InvariantTest.cc
@@ -124,17 +124,20 @@
   WorldOptions options;
   options.seed_ = aSeed;
   std::mt19937 random(aSeed);
+  const auto below = [&](unsigned aLimit) {
+    return static_cast<double>(random() % aLimit);
+  };
   const std::vector<std::pair<std::string, int>> layouts[] = {
     { { "a", 3 }, { "b", 2 }, { "c", 2 } },
     { { "a", 5 }, { "b", 1 }, { "c", 1 } },
     { { "a", 7 } },
   };
   options.regions_ = layouts[aSeed % 3];
-  options.rate_ = 1 + random() % 200;
-  options.burst_ = options.rate_ * (0.05 + (random() % 100) / 30.0);
-  options.lost_ = (random() % 4) * 0.03;
-  options.duplicated_ = (random() % 3) * 0.1;
-  options.late_ = (random() % 3) * 0.05;
+  options.rate_ = 1 + below(200);
+  options.burst_ = options.rate_ * (0.05 + below(100) / 30.0);
+  options.lost_ = below(4) * 0.03;
+  options.duplicated_ = below(3) * 0.1;
+  options.late_ = below(3) * 0.05;
   options.leasesRunInOutage_ = aSeed % 2 == 0;
   options.budget_.loans_ = aSeed % 4 < 2 ? LoanKind::Rate : LoanKind::Tokens;
   // Clock speeds that differ would also scale the refill; the exact bound of
@@ -181,7 +184,7 @@
     REQUIRE(violation.empty());
   }
   // The schedules have to reach the mechanisms that they test.
-  CHECK(totals.claims_ > 8 * schedules);
+  CHECK(totals.claims_ / 8 > schedules);
   CHECK(totals.continuations_ > schedules / 4);
   WARN(totals.claims_ << " claims, " << totals.continuations_
                       << " continuations, " << totals.admitted_
