Move the simple server choice to the tests and run test programs in parallel

Cause: ServerSelector was used by tests only since BackendDispatcher replaced it; event 1004 was never logged; the test programs use ports of their own and ran one after the other. Change: ServerSelector under testing/, the event removed, ctest with jobs.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,9 +13,8 @@
 red=KNOWN-RED.txt
 programs=$({ grep -s '^test: ' $red || true; } | cut -d: -f2 | tr -d ' ' | sort -u)
 exclude=$(echo "$programs" | paste -sd'|')
-# Programs run one after the other: the tests with real processes use fixed
-# ports.
-ctest --preset "$preset" -j 1 ${exclude:+-E "^($exclude)$"}
+# Programs may run at the same time: each uses ports of its own.
+ctest --preset "$preset" -j "$jobs" ${exclude:+-E "^($exclude)$"}
 for program in $programs; do
   cases=()
   while IFS= read -r name; do
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -21,7 +21,6 @@
   ProcessStarted = 1001,
   ProcessStopping = 1002,
   ProcessStopped = 1003,
-  SettingsInvalid = 1004,
   RingFull = 1005,
   // 2000: configuration and keys
   ConfigurationInForce = 2001,
--- a/src/proxy/testing/ProxyTest.cc
+++ b/src/proxy/testing/ProxyTest.cc
@@ -2,7 +2,7 @@
 #include "http/HttpServer.h"
 #include "proxy/CallerServer.h"
 #include "proxy/RequestPipeline.h"
-#include "proxy/ServerSelector.h"
+#include "proxy/testing/ServerSelector.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/proxy/ServerSelector.cc
+++ b/src/proxy/testing/ServerSelector.cc
@@ -1,4 +1,4 @@
-#include "proxy/ServerSelector.h"
+#include "proxy/testing/ServerSelector.h"
 
 #include <algorithm>
 
--- a/src/proxy/ServerSelector.h
+++ b/src/proxy/testing/ServerSelector.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// Chooses the backend server of a pool in this host's region with the fewest
-// requests in flight from this host. Servers that are draining, leaving or
-// failed a connection a moment ago are left out.
+// A simple choice for tests of the pipeline: the backend server of a pool in
+// this host's region with the fewest requests in flight from this host. Servers
+// that are draining or failed a connection a moment ago are left out.
 
 #include "base/BootClock.h"
 #include "config/Configuration.h"
