Run orders whose pool is in another region than their slot

Cause: the demonstration showed that the holder of an order's slot looked for a backend server in its own region only and refused with no-backend-server. Change: after the claim the holder steers like any request and relays to a region with the pool; a refusal that the other host states is not recorded as an outcome; the demonstration stops the hosts before the platform. Linter findings in the merged tree are fixed.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -10,7 +10,14 @@
 bin=build/release/bin
 logs=$(mktemp -d)
 pids=()
-stop() { kill "${pids[@]}" 2>/dev/null || true; wait 2>/dev/null || true; }
+hosts=()
+# The hosts release their slots in the store, so the platform ends after them.
+stop() {
+  kill "${hosts[@]}" 2>/dev/null || true
+  wait "${hosts[@]}" 2>/dev/null || true
+  kill "${pids[@]}" 2>/dev/null || true
+  wait 2>/dev/null || true
+}
 trap stop EXIT
 run() { local name=$1; shift; "$@" >"$logs/$name.log" 2>&1 & pids+=($!); }
 
@@ -24,7 +31,8 @@
   run "$1" "$bin/peridotsail" serve --name="$1" --region="$2" --failure-domain="$3" \
     --callers=127.0.0.1:$4 --peers=127.0.0.1:$(($4 + 1)) --operators=127.0.0.1:$(($4 + 2)) \
     --store=127.0.0.1:20100 --host-list=127.0.0.1:20100 \
-    --operator-token=demo-operator --peer-token=demo-peers
+    --operator-token=demo-operator --peer-token=demo-peers --drain-limit=10
+  hosts+=("${pids[-1]}")
 }
 host host-eu-1 eu-west eu-west-a 20001
 host host-ap-1 ap-east ap-east-a 20011
@@ -35,7 +43,7 @@
   answer=$("$bin/fake_caller" --host=127.0.0.1:20011 --path=/stamps/ready --method=POST \
     --key=k1.secret --idempotency-key=ready 2>/dev/null || true)
   case "$answer" in *": 200 "*) break ;; esac
-  read -r -t 0.2 <> <(:) || true
+  sleep 0.2
 done
 echo "The hosts that a caller in ap-east is told to use:"
 "$bin/peridotsail" lookup --host=127.0.0.1:20011
--- a/src/app/ConfigurationAgent.cc
+++ b/src/app/ConfigurationAgent.cc
@@ -200,7 +200,7 @@
         Carry();
       }
     };
-    watch_ = store_.Watch(kConfigurationKey, std::move(hooks));
+    watch_ = store_.Watch(kConfigurationKey, hooks);
   }
 
   void StopWatch()
--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -10,8 +10,6 @@
 
 }
 
-constexpr Duration kLeavingInterval = std::chrono::seconds(1);
-
 ListedHost
 SelfOf(const Settings& aSettings)
 {
--- a/src/app/EntryHostHooks.cc
+++ b/src/app/EntryHostHooks.cc
@@ -82,8 +82,8 @@
   hooks.send_ = [this](const std::string& aHost, PeerMessage aMessage) {
     return peerNode_.Send(aHost, std::move(aMessage));
   };
-  hooks.onRequest_ = [this](RelayedRequest aRelayed) {
-    pipeline_.HandleRelayed(std::move(aRelayed));
+  hooks.onRequest_ = [this](const RelayedRequest& aRelayed) {
+    pipeline_.HandleRelayed(aRelayed);
   };
   return hooks;
 }
--- a/src/app/testing/FailureTest.cc
+++ b/src/app/testing/FailureTest.cc
@@ -32,11 +32,14 @@
 
 // The status of an order through the host; 0 when the connection was cut.
 int
-Order(const TestHost& aHost, const std::string& aKey, int aDelayMs = 0)
+Order(const TestHost& aHost,
+      const std::string& aKey,
+      int aDelayMs = 0,
+      const std::string& aPath = "/stamps/order")
 {
   const HttpRequest request{
     "POST",
-    "/stamps/order",
+    aPath,
     { { "Authorization", std::string("Bearer ") + kTestKey },
       { "Idempotency-Key", aKey },
       { "X-Fake-Delay-Ms", std::to_string(aDelayMs) } },
@@ -140,6 +143,7 @@
   OrderAtOnce(system, { "at-once" }, 0);
   // Orders in flight while their hosts may be lost.
   std::vector<std::string> keys;
+  keys.reserve(kKeys);
   for (int i = 0; i < kKeys; ++i) {
     keys.push_back("lost-" + std::to_string(i));
   }
@@ -157,6 +161,30 @@
   CHECK(runs.count("at-once") == 1);
 }
 
+// Guards against a holder that refuses an order because the backend servers are
+// in another region only: the demonstration showed this fault.
+TEST_CASE("an order runs once when its pool is in another region than its slot")
+{
+  TestSystem system(PERIDOTSAIL_BIN_DIR, kFirstPort + 4 * kPortsPerCase, 1);
+  REQUIRE(system.Start());
+  const std::string path = "/far-stamps/order";
+  for (const TestHost& host : system.hosts_) {
+    CHECK(WaitUntil([&] { return Order(host, "ready", 0, path) == 200; }));
+  }
+  for (int i = 0; i < kKeys; ++i) {
+    const std::string key = "far-" + std::to_string(i);
+    for (const TestHost& host : system.hosts_) {
+      CHECK(Order(host, key, 0, path) == 200);
+    }
+  }
+  const std::map<std::string, int> runs = RunsByKey(system);
+  CHECK(runs.size() == kKeys + 1);
+  for (const auto& [key, count] : runs) {
+    INFO(key);
+    CHECK(count == 1);
+  }
+}
+
 // Guards the service during an outage of the store.
 TEST_CASE("reads go on while the store is out")
 {
--- a/src/platform/HostListClient.cc
+++ b/src/platform/HostListClient.cc
@@ -176,7 +176,7 @@
     aService;
   impl_->client_.Call(
     impl_->options_.address_,
-    std::move(request),
+    request,
     impl_->options_.timeout_,
     [callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
                                       const Error& aError) {
--- a/src/platform/StoreClient.cc
+++ b/src/platform/StoreClient.cc
@@ -97,7 +97,7 @@
     };
     client_.Call(
       options_.address_,
-      std::move(request),
+      request,
       options_.timeout_,
       [aPath, callback = std::move(aCallback)](
         const std::optional<HttpResponse>& aResponse, const Error& aError) {
--- a/src/proxy/BufferedRequest.cc
+++ b/src/proxy/BufferedRequest.cc
@@ -16,7 +16,7 @@
 }
 
 void
-BufferedRequest::ReadWhole(std::uint64_t aMaxBytes, Done aDone)
+BufferedRequest::ReadWhole(std::uint64_t aMaxBytes, const Done& aDone)
 {
   inner_->SetOnCancelled([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
--- a/src/proxy/BufferedRequest.h
+++ b/src/proxy/BufferedRequest.h
@@ -27,7 +27,7 @@
   BufferedRequest(boost::asio::io_context& aContext, IncomingRequestPtr aInner);
 
   // Reads the body; an error when it is larger than the bound or breaks off.
-  void ReadWhole(std::uint64_t aMaxBytes, Done aDone);
+  void ReadWhole(std::uint64_t aMaxBytes, const Done& aDone);
   const std::string& Body() const { return body_; }
   const RecordedOutcome& Outcome() const { return outcome_; }
 
--- a/src/proxy/OnceRun.cc
+++ b/src/proxy/OnceRun.cc
@@ -125,7 +125,8 @@
     case ClaimVerdict::Execute:
       once_ = true;
       execution_ = std::move(aExecution);
-      ChooseServer();
+      // The holder's region may have no backend server of the pool.
+      Dispatch();
       break;
     case ClaimVerdict::Replay:
       SendRecorded(aDecision.outcome_);
@@ -173,6 +174,20 @@
   }
 }
 
+void
+RequestRun::FinishClaim(const RelayResult& aResult)
+{
+  ExchangeResult result;
+  result.error_ = aResult.error_;
+  result.execution_ = aResult.execution_;
+  // A refusal by the other host is an answer, but not an outcome to record.
+  if (aResult.stated_ && *aResult.stated_ != ExecutionState::Complete) {
+    result.error_ = Error{ ErrorKind::BackendFailed, "" };
+    result.execution_ = *aResult.stated_;
+  }
+  FinishClaim(result);
+}
+
 void
 RequestRun::AbandonClaim()
 {
--- a/src/proxy/RelayNode.h
+++ b/src/proxy/RelayNode.h
@@ -19,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace peridotsail {
@@ -56,6 +57,8 @@
   bool refused_ = false;
   // A part of the caller's body was read and cannot be sent again.
   bool bodyTaken_ = false;
+  // The execution state that the response itself stated.
+  std::optional<ExecutionState> stated_;
   int status_ = 0;
   // Body bytes of both directions.
   std::uint64_t bytes_ = 0;
--- a/src/proxy/RelaySource.cc
+++ b/src/proxy/RelaySource.cc
@@ -6,6 +6,19 @@
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
 
+// A name that is no state counts as unknown.
+ExecutionState
+StateFromName(std::string_view aName)
+{
+  for (const ExecutionState state :
+       { ExecutionState::NotRun, ExecutionState::Complete }) {
+    if (NameOf(state) == aName) {
+      return state;
+    }
+  }
+  return ExecutionState::Unknown;
+}
+
 // A relay without a piece or credit for longer is ended.
 constexpr Duration kProgressLimit = std::chrono::seconds(15);
 
@@ -124,6 +137,10 @@
   headReceived_ = true;
   lastProgress_ = BootClock::now();
   result_.status_ = aHead.head_.status_;
+  if (const std::string* stated =
+        FindHeader(aHead.head_.headers_, "Execution-State")) {
+    result_.stated_ = StateFromName(*stated);
+  }
   incoming_->SendHead(
     std::move(aHead.head_), [self = shared_from_this()](bool aOk) {
       if (self->finished_) {
--- a/src/proxy/RequestRun.cc
+++ b/src/proxy/RequestRun.cc
@@ -219,6 +219,7 @@
   if (!target) {
     ChooseServer();
   } else if (target->refusal_) {
+    AbandonClaim();
     Refuse(*target->refusal_);
   } else {
     StartRelay(*target);
@@ -236,6 +237,14 @@
 void
 RequestRun::StartRelay(const RelayTarget& aTarget)
 {
+  if (once_ && !execution_.MayStart(BootClock::now())) {
+    AbandonClaim();
+    Refusal refusal =
+      MakeRefusal(ErrorKind::PeerUnreachable, "the slot's lease has ended");
+    refusal.execution_ = ExecutionState::Unknown;
+    Refuse(refusal);
+    return;
+  }
   LogEvent(Event::RelayDecision,
            { { "route", query_.route_->name_ },
              { "customer", query_.customer_ },
@@ -259,12 +268,22 @@
 RequestRun::MaySteerAgain(const RelayResult& aResult) const
 {
   return aResult.execution_ == ExecutionState::NotRun && !aResult.bodyTaken_ &&
-         !incoming_->HeadSent() && BootClock::now() < query_.deadline_;
+         !aResult.callerGone_ && !incoming_->HeadSent() &&
+         BootClock::now() < query_.deadline_;
 }
 
 void
 RequestRun::OnRelayDone(const std::string& aRegion, const RelayResult& aResult)
 {
+  if (aResult.refused_ && pipeline_->hooks_.onRelayRefused_) {
+    pipeline_->hooks_.onRelayRefused_(aRegion);
+  }
+  if (aResult.error_ && MaySteerAgain(aResult)) {
+    query_.triedRegions_.push_back(aRegion);
+    Dispatch();
+    return;
+  }
+  FinishClaim(aResult);
   if (!aResult.error_) {
     Finish(aResult.status_);
     return;
@@ -273,14 +292,6 @@
     incoming_->Abort();
     return;
   }
-  if (aResult.refused_ && pipeline_->hooks_.onRelayRefused_) {
-    pipeline_->hooks_.onRelayRefused_(aRegion);
-  }
-  if (MaySteerAgain(aResult)) {
-    query_.triedRegions_.push_back(aRegion);
-    Dispatch();
-    return;
-  }
   Refusal refusal = MakeRefusal(aResult.error_->kind_, aResult.error_->detail_);
   refusal.execution_ = aResult.execution_;
   Refuse(refusal);
--- a/src/proxy/RequestRun.h
+++ b/src/proxy/RequestRun.h
@@ -67,6 +67,7 @@
                        OnceExecution aExecution);
   void SendRecorded(const RecordedOutcome& aOutcome);
   void FinishClaim(const ExchangeResult& aResult);
+  void FinishClaim(const RelayResult& aResult);
   // Ends the claim of a request that reached no backend server.
   void AbandonClaim();
   void StartRelay(const RelayTarget& aTarget);
--- a/src/proxy/testing/ProxyTest.cc
+++ b/src/proxy/testing/ProxyTest.cc
@@ -172,11 +172,11 @@
     once_->SetTenure(tenure, false, BootClock::now());
   }
 
-  HttpResponse Call(HttpRequest aRequest)
+  HttpResponse Call(const HttpRequest& aRequest)
   {
     std::optional<HttpResponse> response;
     client_.Call({ "127.0.0.1", callers_.Port() },
-                 std::move(aRequest),
+                 aRequest,
                  kGenerous,
                  [&](auto aResponse, const Error& aError) {
                    INFO(aError.detail_);
--- a/src/testing/ProcessGroup.cc
+++ b/src/testing/ProcessGroup.cc
@@ -145,6 +145,7 @@
     "routes": [
       {"name": "inbox", "prefix": "/inbox", "pool": "inbox"},
       {"name": "far", "prefix": "/far", "pool": "south-only"},
+      {"name": "far-stamps", "prefix": "/far-stamps", "pool": "south-only", "idempotent": false, "methods": ["POST"]},
       {"name": "open", "prefix": "/open", "pool": "inbox", "open": true},
       {"name": "stamps", "prefix": "/stamps", "pool": "inbox", "idempotent": false, "methods": ["POST"]}],
     "customers": [{"name": "school", "rate_per_second": 100000, "burst": 200000}]
