--- a/src/app/ConfigurationAgent.h
+++ b/src/app/ConfigurationAgent.h
@@ -10,7 +10,7 @@
 #include "config/ConfigurationChange.h"
 #include "keys/ConfigurationNode.h"
 #include "peer/PeerMessage.h"
-#include "platform/StoreClient.h"
+#include "store/StoreClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/src/app/HostDirectory.h
+++ b/src/app/HostDirectory.h
@@ -4,7 +4,7 @@
 // corrected by notices of hosts that are leaving. Used on the traffic thread.
 
 #include "base/BootClock.h"
-#include "platform/HostListClient.h"
+#include "store/HostListClient.h"
 #include "steering/LookupService.h"
 
 #include <cstdint>
--- a/src/app/Main.cc
+++ b/src/app/Main.cc
@@ -2,6 +2,7 @@
 #include "app/EntryHost.h"
 #include "app/LookupCommand.h"
 #include "app/Settings.h"
+#include "platform/PlatformAdapter.h"
 
 #include <cstdlib>
 #include <docopt/docopt.h>
@@ -20,10 +21,15 @@
 constexpr int kFailure = 1;
 constexpr int kWrongArguments = 2;
 
+// Log lines below the level of a warning that a platform host writes in a
+// second; a host takes about 60 requests a second, with two lines each.
+constexpr std::size_t kMostLogLinesPerSecond = 400;
+
 constexpr char kUsage[] = R"(peridotsail: global traffic steering.
 
 Usage:
   peridotsail serve [options]
+  peridotsail serve-platform [--settings=<file>] [--log-level=<level>] [--log-format=<format>]
   peridotsail lookup --host=<address> [--block=<block>] [--json]
   peridotsail config validate <file> [--json]
   peridotsail config (show | history | status) [options]
@@ -48,6 +54,12 @@
 Each option of serve is also an environment variable: PERIDOTSAIL_ and the
 flag's name in upper case with underscores.
 
+serve-platform serves as an entry host on the members' platform, with the
+settings file that the platform writes. It logs JSON to standard output.
+
+  --settings=<file>           Settings file; the variable PERIDOTSAIL_BOOT by
+                              default.
+
 Serve options:
   --name=<name>               Name of this host, as in the host list.
   --region=<name>             Region of this host.
@@ -117,6 +129,65 @@
   return RunConfig(config);
 }
 
+// Sets the field and returns true when the text, if any, names a value.
+template<typename T, typename Parse>
+bool
+SetFromName(const std::string& aText, Parse aParse, T& aField)
+{
+  if (aText.empty()) {
+    return true;
+  }
+  const auto value = aParse(aText);
+  if (value) {
+    aField = *value;
+  }
+  return value.has_value();
+}
+
+int
+RunServePlatform(const Arguments& aArguments)
+{
+  LogOptions log;
+  log.format_ = LogFormat::Json;
+  log.output_ = LogOutput::Standard;
+  log.mostLinesPerSecond_ = kMostLogLinesPerSecond;
+  const bool known =
+    SetFromName(
+      FlagOrVariable(aArguments, "--log-level", "PERIDOTSAIL_LOG_LEVEL"),
+      LogLevelFromName,
+      log.level_) &&
+    SetFromName(
+      FlagOrVariable(aArguments, "--log-format", "PERIDOTSAIL_LOG_FORMAT"),
+      LogFormatFromName,
+      log.format_);
+  if (!known) {
+    std::cerr << "peridotsail: unknown log level or format\n";
+    return kWrongArguments;
+  }
+  const std::string path =
+    FlagOrVariable(aArguments, "--settings", kSettingsVariable);
+  std::string reason;
+  const auto settings = ReadPlatformSettings(path, reason);
+  if (!settings) {
+    std::cerr << "peridotsail: " << reason << '\n';
+    return kWrongArguments;
+  }
+  log.hostName_ = settings->gateway_.name_;
+  StartLog(log);
+  int code = kFailure;
+  {
+    Gateway gateway(settings->gateway_, MakePlatformAdapter(*settings, path));
+    Error error;
+    if (gateway.Start(error)) {
+      code = gateway.Run();
+    } else {
+      std::cerr << "peridotsail: " << error.detail_ << '\n';
+    }
+  }
+  StopLog();
+  return code;
+}
+
 int
 RunServe(const Arguments& aArguments)
 {
@@ -179,6 +250,9 @@
                      TextOf(arguments, "--block"),
                      arguments.at("--json").asBool());
   }
+  if (arguments.at("serve-platform").asBool()) {
+    return RunServePlatform(arguments);
+  }
   if (arguments.at("config").asBool()) {
     return RunConfigCommand(arguments);
   }
--- a/src/app/OnceTransport.h
+++ b/src/app/OnceTransport.h
@@ -9,7 +9,7 @@
 
 #include "base/DutyThread.h"
 #include "once/OnceService.h"
-#include "platform/StoreClient.h"
+#include "store/StoreClient.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
--- a/src/app/PlatformReader.h
+++ b/src/app/PlatformReader.h
@@ -5,8 +5,8 @@
 
 #include "base/BootClock.h"
 #include "config/Configuration.h"
-#include "platform/HostListClient.h"
-#include "platform/StoreClient.h"
+#include "store/HostListClient.h"
+#include "store/StoreClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/src/app/SlotKeeper.h
+++ b/src/app/SlotKeeper.h
@@ -12,8 +12,8 @@
 #include "budget/SlotLease.h"
 #include "config/Configuration.h"
 #include "peer/PeerMessage.h"
-#include "platform/HostListClient.h"
-#include "platform/StoreClient.h"
+#include "store/HostListClient.h"
+#include "store/StoreClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/src/backend/RetryBudget.h
+++ b/src/backend/RetryBudget.h
@@ -28,6 +28,8 @@
   static constexpr std::size_t kWindowSeconds = 10;
 
   explicit RetryBudget(RetryBudgetOptions aOptions = {});
+  // Changes the retries within the window that need no requests.
+  void SetFloor(double aFloor) { options_.floor_ = aFloor; }
   void RecordRequest(TimePoint aNow);
   // Takes a retry from the budget; false when it is used up.
   bool TryTake(TimePoint aNow);
--- a/src/base/EventLog.cc
+++ b/src/base/EventLog.cc
@@ -1,5 +1,7 @@
 #include "base/EventLog.h"
 
+#include "base/BootClock.h"
+
 #include <algorithm>
 #include <atomic>
 #include <nlohmann/json.hpp>
@@ -19,6 +21,10 @@
   std::shared_ptr<spdlog::logger> logger_;
   LogOptions options_;
   std::atomic<bool> running_{ false };
+  // The second that is being counted and the lines in it.
+  std::atomic<std::int64_t> second_{ 0 };
+  std::atomic<std::size_t> lines_{ 0 };
+  std::atomic<std::uint64_t> dropped_{ 0 };
 };
 
 LogState&
@@ -28,6 +34,26 @@
   return state;
 }
 
+// Whether the limit of the present second leaves room for one more line.
+bool
+TakeLine(LogState& aState)
+{
+  if (aState.options_.mostLinesPerSecond_ == 0) {
+    return true;
+  }
+  const std::int64_t second = std::chrono::duration_cast<std::chrono::seconds>(
+                                BootClock::now().time_since_epoch())
+                                .count();
+  if (aState.second_.exchange(second) != second) {
+    aState.lines_ = 0;
+  }
+  if (aState.lines_.fetch_add(1) < aState.options_.mostLinesPerSecond_) {
+    return true;
+  }
+  ++aState.dropped_;
+  return false;
+}
+
 const EventInfo&
 InfoOf(Event aEvent)
 {
@@ -113,7 +139,12 @@
   LogState& state = State();
   state.options_ = aOptions;
   spdlog::init_thread_pool(kLogQueueLines, 1);
-  auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  spdlog::sink_ptr sink;
+  if (aOptions.output_ == LogOutput::Standard) {
+    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  } else {
+    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  }
   state.logger_ = std::make_shared<spdlog::async_logger>(
     "peridotsail",
     std::move(sink),
@@ -153,12 +184,23 @@
   if (!state.logger_->should_log(level)) {
     return;
   }
+  if (level < spdlog::level::warn && !TakeLine(state)) {
+    return;
+  }
   const std::string line = state.options_.format_ == LogFormat::Json
                              ? ToJson(info, aFields)
                              : ToText(info, aFields);
   state.logger_->log(level, spdlog::string_view_t(line));
 }
 
+std::uint64_t
+DroppedLogLines()
+{
+  const auto pool = spdlog::thread_pool();
+  const std::uint64_t overrun = pool ? pool->overrun_counter() : 0;
+  return State().dropped_ + overrun;
+}
+
 std::string_view
 NameOf(LogLevel aLevel)
 {
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -30,6 +30,8 @@
   ConfigurationConflict = 2005,
   KeyRefused = 2006,
   HostIsolated = 2007,
+  EvacuationChanged = 2008,
+  SettingsReloaded = 2009,
   HostConfirmed = 2101,
   // 3000: platform
   StoreUnreachable = 3001,
@@ -37,6 +39,10 @@
   StoreAnswerMalformed = 3003,
   HostListChanged = 3004,
   HostListUnreachable = 3005,
+  StoreHistoryGone = 3006,
+  HostLeaseLost = 3007,
+  HostRecordRefused = 3008,
+  StoreCallFailed = 3009,
   // 4000: peers
   PeerConnected = 4001,
   PeerDisconnected = 4002,
@@ -47,6 +53,9 @@
   RelayDecision = 5003,
   LookupDecision = 5004,
   RequestFinished = 5005,
+  AttemptFailed = 5006,
+  CallerLeft = 5007,
+  RequestMalformed = 5008,
   // 7000: at-most-once execution
   ClaimsLoaded = 7001,
   ClaimRecordMalformed = 7002,
@@ -60,6 +69,7 @@
   BackendServerState = 8001,
   RequestQuarantined = 8002,
   BackendConnectionSilent = 8003,
+  InstanceRecordRefused = 8004,
   // 9000: steering
   RegionWeightChanged = 9001,
   RegionDrainPlanned = 9002,
@@ -81,6 +91,12 @@
   Json,
 };
 
+enum class LogOutput
+{
+  Error,
+  Standard,
+};
+
 // One row of the event table.
 struct EventInfo
 {
@@ -129,11 +145,15 @@
   LogLevel level_ = LogLevel::Info;
   // Written on every line.
   std::string hostName_;
+  LogOutput output_ = LogOutput::Error;
+  // Further lines of a second below the level of a warning are dropped and
+  // counted; 0: no limit.
+  std::size_t mostLinesPerSecond_ = 0;
 };
 
-// Sets up logging to standard error by a background thread with a bounded
-// queue. Lines are dropped, oldest first, when the queue is full. Without this
-// call nothing is logged.
+// Sets up logging to standard error or standard output by a background thread
+// with a bounded queue. Lines are dropped, oldest first, when the queue is
+// full. Without this call nothing is logged.
 void
 StartLog(const LogOptions& aOptions);
 
@@ -144,6 +164,10 @@
 void
 LogEvent(Event aEvent, std::initializer_list<LogField> aFields = {});
 
+// Lines that were dropped: over the limit of a second, or out of a full queue.
+std::uint64_t
+DroppedLogLines();
+
 // All events in the order of their numbers.
 const std::vector<EventInfo>&
 EventTable();
--- /dev/null
+++ b/src/gateway/CallerListener.cc
@@ -0,0 +1,107 @@
+#include "gateway/CallerListener.h"
+
+namespace peridotsail::detail {
+
+namespace {
+
+// How exactly the header and idle timeouts are kept.
+constexpr Duration kTimeoutCheck = std::chrono::milliseconds(500);
+// Waiting connections; a full queue costs a caller seconds.
+constexpr int kBacklog = 1024;
+
+}
+
+CallerListener::CallerListener(asio::io_context& aContext,
+                               CallerHooks aHooks,
+                               std::size_t aMostConnections)
+  : context_(aContext)
+  , hooks_(std::move(aHooks))
+  , mostConnections_(aMostConnections)
+  , acceptor_(aContext)
+  , timer_(aContext)
+{
+}
+
+bool
+CallerListener::Listen(const Address& aAddress, Error& aError)
+{
+  const tcp::endpoint endpoint = ToEndpoint(aAddress);
+  ErrorCode error;
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(kBacklog, error);
+  }
+  if (error) {
+    aError = { ErrorKind::Internal,
+               "cannot listen on " + aAddress.ip_ + ":" +
+                 std::to_string(aAddress.port_) + ": " + error.message() };
+    return false;
+  }
+  Accept();
+  CheckTimeouts();
+  return true;
+}
+
+std::uint16_t
+CallerListener::Port() const
+{
+  ErrorCode ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+void
+CallerListener::Accept()
+{
+  acceptor_.async_accept([this](ErrorCode aError, tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    if (!aError && connections_.size() < mostConnections_) {
+      const auto connection =
+        std::make_shared<CallerConnection>(std::move(aSocket), hooks_);
+      connections_.insert(connection);
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+void
+CallerListener::CheckTimeouts()
+{
+  timer_.expires_after(ToSteady(kTimeoutCheck));
+  timer_.async_wait([this](ErrorCode aError) {
+    if (aError) {
+      return;
+    }
+    const TimePoint now = BootClock::now();
+    for (auto it = connections_.begin(); it != connections_.end();) {
+      (*it)->CheckTimeouts(now);
+      it = (*it)->IsClosed() ? connections_.erase(it) : std::next(it);
+    }
+    CheckTimeouts();
+  });
+}
+
+void
+CallerListener::Close()
+{
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+}
+
+void
+CallerListener::CloseIdle()
+{
+  for (const auto& connection : connections_) {
+    connection->CloseIfIdle();
+  }
+}
+
+}
--- /dev/null
+++ b/src/gateway/ControlLoop.cc
@@ -0,0 +1,612 @@
+#include "gateway/ControlLoop.h"
+
+#include "base/EventLog.h"
+#include "http/BeastTypes.h"
+
+#include <algorithm>
+#include <array>
+
+namespace peridotsail {
+
+using namespace detail;
+
+namespace {
+
+struct StatusName
+{
+  KvStatus status_;
+  std::string_view name_;
+};
+
+constexpr std::array<StatusName, 5> kStatusNames{ {
+  { KvStatus::Done, "done" },
+  { KvStatus::Refused, "refused" },
+  { KvStatus::Unknown, "unknown" },
+  { KvStatus::Gone, "gone" },
+  { KvStatus::Conflict, "conflict" },
+} };
+
+}
+
+std::string_view
+NameOf(KvStatus aStatus)
+{
+  for (const StatusName& row : kStatusNames) {
+    if (row.status_ == aStatus) {
+      return row.name_;
+    }
+  }
+  return "";
+}
+
+struct ControlLoop::Impl : public std::enable_shared_from_this<Impl>
+{
+  using Kind = ControlCodec::Kind;
+
+  Impl(asio::io_context& aContext,
+       KvStore& aStore,
+       ControlCodec aCodec,
+       ControlOptions aOptions,
+       ControlHooks aHooks);
+
+  // Runs the task after the pause, unless the loop has ended.
+  void After(Duration aPause, std::function<void(Impl&)> aTask);
+  void ReadAll();
+  void ReadPage(std::size_t aPrefix, const std::string& aAfter);
+  void OnPage(std::size_t aPrefix, KvStatus aStatus, const KvItems& aItems);
+  void OnAllRead();
+  void Watch();
+  void OnWatch(TimePoint aSentAt, KvStatus aStatus, const KvItems& aItems);
+  void OnStoreFailed(KvStatus aStatus);
+  void OnStoreAnswered();
+
+  void Apply(const KvItem& aItem);
+  void ApplyConfiguration(const KvItem& aItem);
+  void ApplyInstance(const std::string& aId, const KvItem& aItem);
+  void ApplyHost(const std::string& aName, const KvItem& aItem);
+  void RemoveInstance(const std::string& aId);
+  bool StoreReturnedLately(TimePoint aNow) const;
+  void CheckMissing();
+  void Publish();
+
+  void RenewLease();
+  void GrantLease();
+  void OnLeaseLost();
+  void WriteSelf();
+  void OnWritten(KvStatus aStatus, std::uint64_t aNumber);
+  void Leave(std::function<void()> aDone);
+
+  asio::io_context& context_;
+  KvStore& store_;
+  ControlCodec codec_;
+  ControlOptions options_;
+  ControlHooks hooks_;
+
+  FleetSnapshot view_;
+  bool changed_ = false;
+  // The revision up to which changes were read.
+  std::uint64_t revision_ = 0;
+  std::uint64_t firstRevision_ = 0;
+  TimePoint readBegun_;
+  // Keys that a complete read has found.
+  std::set<std::string> found_;
+  // Instances that are gone from the store since its return, with the time
+  // from which they count as gone.
+  std::map<std::string, TimePoint> missing_;
+  bool reachable_ = true;
+  TimePoint returnedAt_ = TimePoint::min();
+
+  HostRecord self_;
+  bool selfChanged_ = true;
+  bool writing_ = false;
+  TimePoint writtenAt_ = TimePoint::min();
+  std::uint64_t selfRevision_ = 0;
+  std::uint64_t lease_ = 0;
+  bool granting_ = false;
+  bool leaving_ = false;
+};
+
+ControlLoop::Impl::Impl(asio::io_context& aContext,
+                        KvStore& aStore,
+                        ControlCodec aCodec,
+                        ControlOptions aOptions,
+                        ControlHooks aHooks)
+  : context_(aContext)
+  , store_(aStore)
+  , codec_(std::move(aCodec))
+  , options_(std::move(aOptions))
+  , hooks_(std::move(aHooks))
+{
+}
+
+void
+ControlLoop::Impl::After(Duration aPause, std::function<void(Impl&)> aTask)
+{
+  const auto timer = std::make_shared<asio::steady_timer>(context_);
+  timer->expires_after(ToSteady(aPause));
+  timer->async_wait(
+    [timer, weak = weak_from_this(), task = std::move(aTask)](ErrorCode) {
+      if (const auto self = weak.lock()) {
+        task(*self);
+      }
+    });
+}
+
+void
+ControlLoop::Impl::OnStoreFailed(KvStatus aStatus)
+{
+  if (reachable_) {
+    reachable_ = false;
+    LogEvent(Event::StoreUnreachable, { { "status", NameOf(aStatus) } });
+  }
+}
+
+void
+ControlLoop::Impl::OnStoreAnswered()
+{
+  if (!reachable_) {
+    reachable_ = true;
+    returnedAt_ = BootClock::now();
+    LogEvent(Event::StoreReachable);
+    After(options_.returnTime_, [](Impl& aSelf) { aSelf.CheckMissing(); });
+  }
+}
+
+bool
+ControlLoop::Impl::StoreReturnedLately(TimePoint aNow) const
+{
+  return returnedAt_ != TimePoint::min() &&
+         aNow - returnedAt_ < options_.returnTime_;
+}
+
+// Reads all keys and then follows their changes from the revision before.
+void
+ControlLoop::Impl::ReadAll()
+{
+  firstRevision_ = 0;
+  found_.clear();
+  readBegun_ = BootClock::now();
+  ReadPage(0, "");
+}
+
+void
+ControlLoop::Impl::ReadPage(std::size_t aPrefix, const std::string& aAfter)
+{
+  store_.Range(options_.prefixes_[aPrefix],
+               aAfter,
+               [weak = weak_from_this(), aPrefix](KvStatus aStatus,
+                                                  const KvItems& aItems) {
+                 if (const auto self = weak.lock()) {
+                   self->OnPage(aPrefix, aStatus, aItems);
+                 }
+               });
+}
+
+void
+ControlLoop::Impl::OnPage(std::size_t aPrefix,
+                          KvStatus aStatus,
+                          const KvItems& aItems)
+{
+  if (aStatus != KvStatus::Done) {
+    OnStoreFailed(aStatus);
+    After(options_.retryPause_, [](Impl& aSelf) { aSelf.ReadAll(); });
+    return;
+  }
+  OnStoreAnswered();
+  if (firstRevision_ == 0) {
+    firstRevision_ = aItems.revision_;
+  }
+  for (const KvItem& item : aItems.items_) {
+    found_.insert(item.key_);
+    Apply(item);
+  }
+  if (aItems.more_ && !aItems.items_.empty()) {
+    ReadPage(aPrefix, aItems.items_.back().key_);
+  } else if (aPrefix + 1 < options_.prefixes_.size()) {
+    ReadPage(aPrefix + 1, "");
+  } else {
+    OnAllRead();
+  }
+}
+
+void
+ControlLoop::Impl::OnAllRead()
+{
+  std::vector<KvItem> removed;
+  const auto isFound = [this](Kind aKind, const std::string& aName) {
+    return std::any_of(
+      found_.begin(), found_.end(), [&](const std::string& aKey) {
+        const ControlCodec::Key key = codec_.classify_(aKey);
+        return key.kind_ == aKind && key.name_ == aName;
+      });
+  };
+  std::vector<std::string> gone;
+  for (const auto& [id, record] : view_.instances_) {
+    if (!isFound(Kind::Instance, id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    RemoveInstance(id);
+  }
+  for (auto it = view_.hosts_.begin(); it != view_.hosts_.end();) {
+    const bool there = isFound(Kind::Host, it->first);
+    changed_ = changed_ || !there;
+    it = there ? std::next(it) : view_.hosts_.erase(it);
+  }
+  for (auto it = view_.evacuated_.begin(); it != view_.evacuated_.end();) {
+    const bool there = isFound(Kind::Evacuation, *it);
+    changed_ = changed_ || !there;
+    it = there ? std::next(it) : view_.evacuated_.erase(it);
+  }
+  revision_ = firstRevision_;
+  hooks_.onConfirmed_(readBegun_);
+  Publish();
+  Watch();
+}
+
+void
+ControlLoop::Impl::Watch()
+{
+  const TimePoint sentAt = BootClock::now();
+  store_.Watch(
+    "",
+    revision_,
+    options_.watchWait_,
+    [weak = weak_from_this(), sentAt](KvStatus aStatus, const KvItems& aItems) {
+      if (const auto self = weak.lock()) {
+        self->OnWatch(sentAt, aStatus, aItems);
+      }
+    });
+}
+
+void
+ControlLoop::Impl::OnWatch(TimePoint aSentAt,
+                           KvStatus aStatus,
+                           const KvItems& aItems)
+{
+  if (aStatus == KvStatus::Gone) {
+    OnStoreAnswered();
+    LogEvent(Event::StoreHistoryGone, { { "revision", revision_ } });
+    ReadAll();
+    return;
+  }
+  if (aStatus != KvStatus::Done) {
+    OnStoreFailed(aStatus);
+    After(options_.retryPause_, [](Impl& aSelf) { aSelf.Watch(); });
+    return;
+  }
+  OnStoreAnswered();
+  if (aItems.items_.empty() && aItems.revision_ > revision_) {
+    LogEvent(Event::StoreHistoryGone, { { "revision", revision_ } });
+    ReadAll();
+    return;
+  }
+  for (const KvItem& item : aItems.items_) {
+    Apply(item);
+  }
+  revision_ = std::max(revision_, aItems.revision_);
+  hooks_.onConfirmed_(aSentAt);
+  Publish();
+  const Duration spent = BootClock::now() - aSentAt;
+  if (spent >= options_.watchPause_) {
+    Watch();
+  } else {
+    After(options_.watchPause_ - spent, [](Impl& aSelf) { aSelf.Watch(); });
+  }
+}
+
+void
+ControlLoop::Impl::Apply(const KvItem& aItem)
+{
+  const ControlCodec::Key key = codec_.classify_(aItem.key_);
+  switch (key.kind_) {
+    case Kind::Configuration:
+      ApplyConfiguration(aItem);
+      break;
+    case Kind::Instance:
+      ApplyInstance(key.name_, aItem);
+      break;
+    case Kind::Evacuation: {
+      const bool changed = aItem.removed_
+                             ? view_.evacuated_.erase(key.name_) > 0
+                             : view_.evacuated_.insert(key.name_).second;
+      if (changed) {
+        changed_ = true;
+        LogEvent(Event::EvacuationChanged,
+                 { { "failure_domain", key.name_ },
+                   { "evacuated", aItem.removed_ ? 0 : 1 },
+                   { "revision", aItem.revision_ } });
+      }
+      break;
+    }
+    case Kind::Host:
+      ApplyHost(key.name_, aItem);
+      break;
+    case Kind::Other:
+      break;
+  }
+}
+
+void
+ControlLoop::Impl::ApplyConfiguration(const KvItem& aItem)
+{
+  if (aItem.removed_) {
+    return;
+  }
+  std::string reason;
+  const RoutingTablePtr table = codec_.decodeTable_(aItem.value_, reason);
+  if (!table) {
+    LogEvent(Event::ConfigurationRefused,
+             { { "reason", reason }, { "revision", aItem.revision_ } });
+    return;
+  }
+  const std::uint64_t current = view_.table_ ? view_.table_->Version() : 0;
+  if (table->Version() < current) {
+    LogEvent(Event::ConfigurationReverted,
+             { { "version", table->Version() }, { "in_force", current } });
+    return;
+  }
+  if (table->Version() == current && view_.table_) {
+    return;
+  }
+  view_.table_ = table;
+  changed_ = true;
+  LogEvent(
+    Event::ConfigurationInForce,
+    { { "version", table->Version() }, { "revision", aItem.revision_ } });
+}
+
+void
+ControlLoop::Impl::RemoveInstance(const std::string& aId)
+{
+  const TimePoint now = BootClock::now();
+  if (view_.instances_.count(aId) == 0) {
+    return;
+  }
+  if (!reachable_ || StoreReturnedLately(now)) {
+    missing_.emplace(aId, returnedAt_ + options_.returnTime_);
+    return;
+  }
+  view_.instances_.erase(aId);
+  view_.readAt_.erase(aId);
+  changed_ = true;
+}
+
+// Backend servers that did not come back after the store's return are gone.
+void
+ControlLoop::Impl::CheckMissing()
+{
+  for (const auto& [id, until] : missing_) {
+    view_.instances_.erase(id);
+    view_.readAt_.erase(id);
+    changed_ = true;
+  }
+  missing_.clear();
+  Publish();
+}
+
+void
+ControlLoop::Impl::ApplyInstance(const std::string& aId, const KvItem& aItem)
+{
+  if (aItem.removed_) {
+    RemoveInstance(aId);
+    return;
+  }
+  std::string reason;
+  const auto record = codec_.decodeInstance_(aId, aItem.value_, reason);
+  if (!record) {
+    LogEvent(Event::InstanceRecordRefused,
+             { { "server", aId }, { "reason", reason } });
+    missing_.erase(aId);
+    if (view_.instances_.erase(aId) > 0) {
+      view_.readAt_.erase(aId);
+      changed_ = true;
+    }
+    return;
+  }
+  missing_.erase(aId);
+  const auto known = view_.instances_.find(aId);
+  if (known != view_.instances_.end()) {
+    const InstanceRecord& old = known->second;
+    const bool late =
+      record->born_ < old.born_ ||
+      (record->born_ == old.born_ && record->sequence_ < old.sequence_);
+    if (late) {
+      return;
+    }
+  }
+  view_.instances_[aId] = *record;
+  view_.readAt_[aId] = BootClock::now();
+  changed_ = true;
+}
+
+void
+ControlLoop::Impl::ApplyHost(const std::string& aName, const KvItem& aItem)
+{
+  if (aName == options_.name_ && !aItem.removed_) {
+    selfRevision_ = std::max(selfRevision_, aItem.revision_);
+  }
+  if (aItem.removed_) {
+    changed_ = view_.hosts_.erase(aName) > 0 || changed_;
+    if (aName == options_.name_ && lease_ != 0 && !leaving_) {
+      selfRevision_ = 0;
+      selfChanged_ = true;
+    }
+    return;
+  }
+  const auto host = DecodeHostRecord(aName, aItem.value_);
+  if (!host) {
+    LogEvent(Event::HostRecordRefused, { { "name", aName } });
+    return;
+  }
+  view_.hosts_[aName] = *host;
+  changed_ = true;
+}
+
+void
+ControlLoop::Impl::Publish()
+{
+  if (!changed_) {
+    return;
+  }
+  changed_ = false;
+  view_.registered_ = view_.hosts_.count(options_.name_) > 0;
+  hooks_.onSnapshot_(std::make_shared<const FleetSnapshot>(view_));
+}
+
+// Renews the lease, or takes a new one, and writes this host's registration
+// when it changed.
+void
+ControlLoop::Impl::RenewLease()
+{
+  if (leaving_) {
+    return;
+  }
+  After(options_.leaseRenewal_, [](Impl& aSelf) { aSelf.RenewLease(); });
+  if (lease_ == 0) {
+    GrantLease();
+    return;
+  }
+  store_.KeepLease(lease_,
+                   [weak = weak_from_this()](KvStatus aStatus, std::uint64_t) {
+                     const auto self = weak.lock();
+                     if (self && aStatus == KvStatus::Gone) {
+                       self->OnLeaseLost();
+                     }
+                   });
+  WriteSelf();
+}
+
+void
+ControlLoop::Impl::OnLeaseLost()
+{
+  if (leaving_) {
+    return;
+  }
+  LogEvent(Event::HostLeaseLost, { { "lease", lease_ } });
+  lease_ = 0;
+  selfChanged_ = true;
+  GrantLease();
+}
+
+void
+ControlLoop::Impl::GrantLease()
+{
+  if (granting_ || leaving_) {
+    return;
+  }
+  granting_ = true;
+  store_.GrantLease(
+    options_.leaseLife_,
+    [weak = weak_from_this()](KvStatus aStatus, std::uint64_t aLease) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      self->granting_ = false;
+      if (aStatus == KvStatus::Done && !self->leaving_) {
+        self->lease_ = aLease;
+        self->selfChanged_ = true;
+        self->writtenAt_ = TimePoint::min();
+        self->WriteSelf();
+      }
+    });
+}
+
+void
+ControlLoop::Impl::WriteSelf()
+{
+  const TimePoint now = BootClock::now();
+  const bool paused =
+    writtenAt_ != TimePoint::min() && now - writtenAt_ < options_.publishPause_;
+  if (writing_ || lease_ == 0 || !selfChanged_ || paused || leaving_) {
+    return;
+  }
+  writing_ = true;
+  selfChanged_ = false;
+  writtenAt_ = now;
+  KvPut put;
+  put.key_ = codec_.hostKey_(options_.name_);
+  put.value_ = EncodeHostRecord(self_);
+  put.expectedRevision_ = selfRevision_;
+  put.lease_ = lease_;
+  store_.Put(
+    put, [weak = weak_from_this()](KvStatus aStatus, std::uint64_t aNumber) {
+      if (const auto self = weak.lock()) {
+        self->OnWritten(aStatus, aNumber);
+      }
+    });
+}
+
+void
+ControlLoop::Impl::OnWritten(KvStatus aStatus, std::uint64_t aNumber)
+{
+  writing_ = false;
+  if (aStatus == KvStatus::Done) {
+    selfRevision_ = std::max(selfRevision_, aNumber);
+    return;
+  }
+  selfChanged_ = true;
+  if (aStatus == KvStatus::Gone) {
+    OnLeaseLost();
+  } else if (aStatus == KvStatus::Conflict) {
+    selfRevision_ = aNumber;
+    writtenAt_ = TimePoint::min();
+    WriteSelf();
+  }
+}
+
+void
+ControlLoop::Impl::Leave(std::function<void()> aDone)
+{
+  leaving_ = true;
+  if (lease_ == 0) {
+    aDone();
+    return;
+  }
+  store_.EndLease(
+    lease_, [done = std::move(aDone)](KvStatus, std::uint64_t) { done(); });
+}
+
+ControlLoop::ControlLoop(asio::io_context& aContext,
+                         KvStore& aStore,
+                         ControlCodec aCodec,
+                         ControlOptions aOptions,
+                         ControlHooks aHooks)
+  : impl_(std::make_shared<Impl>(aContext,
+                                 aStore,
+                                 std::move(aCodec),
+                                 std::move(aOptions),
+                                 std::move(aHooks)))
+{
+}
+
+ControlLoop::~ControlLoop() = default;
+
+void
+ControlLoop::Start()
+{
+  impl_->ReadAll();
+  impl_->RenewLease();
+}
+
+void
+ControlLoop::SetSelf(HostRecord aSelf)
+{
+  const bool urgent = aSelf.draining_ != impl_->self_.draining_;
+  impl_->self_ = std::move(aSelf);
+  impl_->selfChanged_ = true;
+  if (urgent) {
+    impl_->writtenAt_ = TimePoint::min();
+  }
+  impl_->WriteSelf();
+}
+
+void
+ControlLoop::Leave(std::function<void()> aDone)
+{
+  impl_->Leave(std::move(aDone));
+}
+
+}
--- /dev/null
+++ b/src/gateway/ControlLoop.h
@@ -0,0 +1,110 @@
+#pragma once
+
+// Keeps this host's view of the platform: reads the configuration, the backend
+// servers, evacuations and the other hosts from the store, follows their
+// changes, and keeps this host registered under a lease. Runs on one thread,
+// which is the store's.
+//
+//   ControlLoop loop(context, store, codec, options, hooks);
+//   loop.Start();
+//   loop.SetSelf(record);     // published with the next write
+//   loop.Leave(done);         // ends the registration
+//
+// The store's history can be lost while it seems to answer. Therefore all keys
+// are followed by one watch: an answer whose revision grew without an event
+// shows a gap, after which everything is read anew.
+
+#include "gateway/FleetTypes.h"
+#include "gateway/KvStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace peridotsail {
+
+// How the platform spells its keys and documents.
+struct ControlCodec
+{
+  enum class Kind
+  {
+    Configuration,
+    Instance,
+    Evacuation,
+    Host,
+    Other,
+  };
+  struct Key
+  {
+    Kind kind_ = Kind::Other;
+    // The id of an instance, the failure domain or the host's name.
+    std::string name_;
+  };
+  std::function<Key(const std::string& aKey)> classify_;
+  // Null, and a reason, for a document that cannot be used.
+  std::function<RoutingTablePtr(const std::string& aBytes,
+                                std::string& aReason)>
+    decodeTable_;
+  std::function<std::optional<InstanceRecord>(const std::string& aId,
+                                              const std::string& aBytes,
+                                              std::string& aReason)>
+    decodeInstance_;
+  // The key under which a host registers.
+  std::function<std::string(const std::string& aName)> hostKey_;
+};
+
+struct ControlOptions
+{
+  // This host's name.
+  std::string name_;
+  // The prefixes that are read when the history is gone.
+  std::vector<std::string> prefixes_;
+  // The longest wait of a watch; a shorter one confirms the view more often.
+  Duration watchWait_ = std::chrono::milliseconds(1000);
+  // The shortest time between two watches: changes that come together are read
+  // together.
+  Duration watchPause_ = std::chrono::milliseconds(200);
+  Duration leaseLife_ = std::chrono::seconds(3);
+  Duration leaseRenewal_ = std::chrono::milliseconds(1000);
+  // The pause after a failed call.
+  Duration retryPause_ = std::chrono::milliseconds(150);
+  // Backend servers whose registration lapsed while the store was away come
+  // back within this time of its return.
+  Duration returnTime_ = std::chrono::milliseconds(2000);
+  // The shortest time between two writes of this host's registration.
+  Duration publishPause_ = std::chrono::milliseconds(1000);
+};
+
+struct ControlHooks
+{
+  // The view changed.
+  std::function<void(FleetSnapshotPtr)> onSnapshot_;
+  // At aSince the view was the store's, as far as this host could know.
+  std::function<void(TimePoint aSince)> onConfirmed_;
+};
+
+class ControlLoop
+{
+public:
+  ControlLoop(boost::asio::io_context& aContext,
+              KvStore& aStore,
+              ControlCodec aCodec,
+              ControlOptions aOptions,
+              ControlHooks aHooks);
+  ~ControlLoop();
+  ControlLoop(const ControlLoop&) = delete;
+  ControlLoop& operator=(const ControlLoop&) = delete;
+
+  void Start();
+  void SetSelf(HostRecord aSelf);
+  // Ends the registration; aDone runs after the store's answer or its failure.
+  void Leave(std::function<void()> aDone);
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/src/gateway/CustomerAllowances.cc
@@ -0,0 +1,119 @@
+#include "gateway/CustomerAllowances.h"
+
+#include <algorithm>
+
+namespace peridotsail {
+
+namespace {
+
+// Demand below this does not change shares; requests a second.
+constexpr double kLeastDemand = 0.5;
+
+}
+
+CustomerAllowances::CustomerAllowances(AllowanceOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+double
+CustomerAllowances::TargetShare(const std::string& aCustomer,
+                                const std::map<std::string, HostRecord>& aHosts,
+                                const std::string& aSelf) const
+{
+  // This host counts also while its registration is not there yet.
+  const double hosts =
+    static_cast<double>(aHosts.size() + (aHosts.count(aSelf) == 0 ? 1 : 0));
+  double all = 0;
+  double own = 0;
+  for (const auto& [name, host] : aHosts) {
+    const auto found = host.demand_.find(aCustomer);
+    const double demand = found == host.demand_.end() ? 0 : found->second;
+    all += demand;
+    if (name == aSelf) {
+      own = demand;
+    }
+  }
+  if (all < kLeastDemand) {
+    return 1 / hosts;
+  }
+  return (1 - options_.byDemand_) / hosts + options_.byDemand_ * own / all;
+}
+
+void
+CustomerAllowances::Apply(const RoutingTable& aTable,
+                          const std::map<std::string, HostRecord>& aHosts,
+                          const std::string& aSelf,
+                          TimePoint aNow)
+{
+  for (const GatewayCustomer& customer : aTable.Customers()) {
+    auto [it, added] = accounts_.try_emplace(customer.name_, aNow);
+    Account& account = it->second;
+    account.rate_ = customer.ratePerSecond_;
+    account.burst_ = customer.burst_;
+    const double target = TargetShare(customer.name_, aHosts, aSelf);
+    if (added || target != account.targets_.back().second) {
+      account.targets_.emplace_back(aNow, target);
+    }
+    UseShare(account, aNow);
+    if (added) {
+      account.bucket_.Put(account.rate_ * account.share_ *
+                            ToSeconds(options_.firstTokens_),
+                          aNow);
+    }
+  }
+}
+
+void
+CustomerAllowances::UseShare(Account& aAccount, TimePoint aNow)
+{
+  std::deque<std::pair<TimePoint, double>>& targets = aAccount.targets_;
+  while (targets.size() > 1 &&
+         aNow - targets[1].first >= options_.raiseDelay_) {
+    targets.pop_front();
+  }
+  double share = targets.front().second;
+  for (const auto& [at, target] : targets) {
+    share = std::min(share, target);
+  }
+  aAccount.share_ = share;
+  // A bucket below one token would never admit a request.
+  const double cap = std::max(1.0, aAccount.burst_ * aAccount.share_);
+  aAccount.bucket_.SetLimits(aAccount.rate_ * aAccount.share_, cap, aNow);
+}
+
+Admission
+CustomerAllowances::TryTake(const GatewayCustomer& aCustomer, TimePoint aNow)
+{
+  const auto found = accounts_.find(aCustomer.name_);
+  if (aCustomer.ratePerSecond_ <= 0 || found == accounts_.end()) {
+    return {};
+  }
+  Account& account = found->second;
+  ++account.requests_;
+  UseShare(account, aNow);
+  if (account.bucket_.TryTake(1, aNow)) {
+    return {};
+  }
+  return { false, account.bucket_.WaitFor(1) };
+}
+
+std::map<std::string, double>
+CustomerAllowances::MeasureDemand(TimePoint aNow)
+{
+  std::map<std::string, double> demand;
+  const double seconds =
+    measuredAt_ == TimePoint::min() ? 1.0 : ToSeconds(aNow - measuredAt_);
+  measuredAt_ = aNow;
+  for (auto& [name, account] : accounts_) {
+    const double rate = account.requests_ / std::max(seconds, 0.1);
+    account.requests_ = 0;
+    account.demand_ += options_.demandWeight_ * (rate - account.demand_);
+    if (account.demand_ >= kLeastDemand) {
+      demand[name] = account.demand_;
+    }
+  }
+  return demand;
+}
+
+}
--- /dev/null
+++ b/src/gateway/CustomerAllowances.h
@@ -0,0 +1,92 @@
+#pragma once
+
+// Admits requests of customers within their rate and burst over all hosts.
+// Pure; used on the traffic thread.
+//
+// Each host has a share of each customer's rate and burst. Shares follow the
+// demand that the hosts publish with their registrations. The sum of shares
+// stays at one through changes: a lower share counts at once, a higher one only
+// after all hosts have had time to read the change (raiseDelay_), and tokens
+// are never created by a change, only by the rate.
+//
+//   allowances.Apply(table, hosts, self, now);
+//   Admission admission = allowances.TryTake(customer, now);
+
+#include "base/BootClock.h"
+#include "budget/TokenBucket.h"
+#include "gateway/FleetTypes.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace peridotsail {
+
+struct AllowanceOptions
+{
+  // From a change of a share until the host may use the higher one: longer than
+  // the control loop's pause and the longest answer of a store that counts as
+  // reachable.
+  Duration raiseDelay_ = std::chrono::milliseconds(2000);
+  // The part of the rate that is shared by demand; the rest is shared equally,
+  // so that a host without recent demand can admit the first requests.
+  double byDemand_ = 0.8;
+  // The tokens of a new bucket, as time of its rate. A restarted host may have
+  // spent its burst in its last lifetime.
+  Duration firstTokens_ = std::chrono::milliseconds(250);
+  // Weight of the newest second in the measured demand.
+  double demandWeight_ = 0.4;
+};
+
+struct Admission
+{
+  bool admitted_ = true;
+  // When not admitted: until the next token.
+  Duration retryAfter_{};
+};
+
+class CustomerAllowances
+{
+public:
+  explicit CustomerAllowances(AllowanceOptions aOptions);
+
+  // aHosts are all registered hosts by name, this one included or not.
+  void Apply(const RoutingTable& aTable,
+             const std::map<std::string, HostRecord>& aHosts,
+             const std::string& aSelf,
+             TimePoint aNow);
+  Admission TryTake(const GatewayCustomer& aCustomer, TimePoint aNow);
+  // Requests a second of each customer at this host, refused ones included.
+  // Call once a second.
+  std::map<std::string, double> MeasureDemand(TimePoint aNow);
+
+private:
+  struct Account
+  {
+    explicit Account(TimePoint aNow)
+      : bucket_(aNow)
+    {
+    }
+    TokenBucket bucket_;
+    double rate_ = 0;
+    double burst_ = 0;
+    // The share in use: the lowest target of the last raiseDelay_.
+    double share_ = 0;
+    // Targets and when they came; the first was in force when the delay began.
+    std::deque<std::pair<TimePoint, double>> targets_;
+    double requests_ = 0;
+    double demand_ = 0;
+  };
+
+  double TargetShare(const std::string& aCustomer,
+                     const std::map<std::string, HostRecord>& aHosts,
+                     const std::string& aSelf) const;
+  void UseShare(Account& aAccount, TimePoint aNow);
+
+  AllowanceOptions options_;
+  std::map<std::string, Account> accounts_;
+  TimePoint measuredAt_ = TimePoint::min();
+};
+
+}
--- /dev/null
+++ b/src/gateway/FleetRetryBudget.cc
@@ -0,0 +1,47 @@
+#include "gateway/FleetRetryBudget.h"
+
+namespace peridotsail {
+
+FleetRetryBudget::FleetRetryBudget(FleetRetryBudgetOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+void
+FleetRetryBudget::SetHosts(std::size_t aHosts)
+{
+  hosts_ = aHosts;
+}
+
+RetryBudget&
+FleetRetryBudget::BudgetOf(const std::string& aService)
+{
+  const auto found = budgets_.find(aService);
+  if (found != budgets_.end()) {
+    return found->second;
+  }
+  RetryBudgetOptions options;
+  options.ratio_ = options_.ratio_ * options_.part_;
+  options.floor_ = 0;
+  return budgets_.emplace(aService, RetryBudget(options)).first->second;
+}
+
+void
+FleetRetryBudget::RecordRequest(const std::string& aService, TimePoint aNow)
+{
+  BudgetOf(aService).RecordRequest(aNow);
+}
+
+bool
+FleetRetryBudget::TryTake(const std::string& aService, TimePoint aNow)
+{
+  if (hosts_ == 0) {
+    return false;
+  }
+  RetryBudget& budget = BudgetOf(aService);
+  budget.SetFloor(options_.slack_ * options_.part_ /
+                  static_cast<double>(hosts_));
+  return budget.TryTake(aNow);
+}
+
+}
--- /dev/null
+++ b/src/gateway/FleetTypes.cc
@@ -0,0 +1,40 @@
+#include "gateway/FleetTypes.h"
+
+#include <nlohmann/json.hpp>
+
+namespace peridotsail {
+
+using nlohmann::json;
+
+std::string
+EncodeHostRecord(const HostRecord& aHost)
+{
+  const json record{
+    { "callers", aHost.callers_ }, { "failure_domain", aHost.failureDomain_ },
+    { "region", aHost.region_ },   { "draining", aHost.draining_ },
+    { "demand", aHost.demand_ },   { "quarantined", aHost.quarantined_ }
+  };
+  return record.dump();
+}
+
+std::optional<HostRecord>
+DecodeHostRecord(const std::string& aName, const std::string& aBytes)
+{
+  try {
+    const json record = json::parse(aBytes);
+    HostRecord host;
+    host.name_ = aName;
+    host.callers_ = record.at("callers").get<std::string>();
+    host.failureDomain_ = record.at("failure_domain").get<std::string>();
+    host.region_ = record.at("region").get<std::string>();
+    host.draining_ = record.at("draining").get<bool>();
+    host.demand_ = record.at("demand").get<std::map<std::string, double>>();
+    host.quarantined_ =
+      record.at("quarantined").get<std::vector<std::string>>();
+    return host;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}
--- /dev/null
+++ b/src/gateway/FleetTypes.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// What the platform's store says of backend servers and hosts.
+
+#include "base/BootClock.h"
+#include "gateway/RoutingTable.h"
+#include "http/HttpTypes.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+// A backend server's registration.
+struct InstanceRecord
+{
+  std::string id_;
+  std::string service_;
+  Address address_;
+  std::string failureDomain_;
+  int slots_ = 1;
+  bool draining_ = false;
+  // How long the server stays cold, counted from when the record was read.
+  Duration coldLeft_{};
+  // Counts the server's heartbeats within one lifetime.
+  std::uint64_t sequence_ = 0;
+  // Unix time of the server's start in milliseconds; names its lifetime.
+  std::int64_t born_ = 0;
+};
+
+// An entry host's registration, under its lease.
+struct HostRecord
+{
+  std::string name_;
+  // Where callers connect, as text.
+  std::string callers_;
+  std::string failureDomain_;
+  std::string region_;
+  bool draining_ = false;
+  // Requests a second that callers of each customer send to this host.
+  std::map<std::string, double> demand_;
+  // Fingerprints of requests that this host refuses because they crash backend
+  // servers.
+  std::vector<std::string> quarantined_;
+};
+
+// All that the control loop knows, as an immutable snapshot.
+struct FleetSnapshot
+{
+  // Null until the first configuration is read.
+  RoutingTablePtr table_;
+  std::map<std::string, InstanceRecord> instances_;
+  // When each instance's record was read, for its coldLeft_.
+  std::map<std::string, TimePoint> readAt_;
+  // Failure domains whose backend servers get nothing.
+  std::set<std::string> evacuated_;
+  // By name.
+  std::map<std::string, HostRecord> hosts_;
+  // This host is registered under a lease.
+  bool registered_ = false;
+};
+
+using FleetSnapshotPtr = std::shared_ptr<const FleetSnapshot>;
+
+// The requests of callers as far as this host publishes them.
+std::string
+EncodeHostRecord(const HostRecord& aHost);
+
+// Nothing for a record that cannot be read.
+std::optional<HostRecord>
+DecodeHostRecord(const std::string& aName, const std::string& aBytes);
+
+}
--- /dev/null
+++ b/src/gateway/Gateway.cc
@@ -0,0 +1,489 @@
+#include "gateway/Gateway.h"
+
+#include "base/DutyThread.h"
+#include "base/EventLog.h"
+#include "base/Metrics.h"
+#include "gateway/CallerListener.h"
+#include "gateway/HostOrder.h"
+#include "gateway/RequestFlow.h"
+#include "http/HttpServer.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/signal_set.hpp>
+#include <future>
+
+namespace peridotsail {
+
+using namespace detail;
+
+namespace {
+
+constexpr std::size_t kRingTasks = 4096;
+// How often measured demand is published and expired connections are closed.
+constexpr Duration kTick = std::chrono::milliseconds(1000);
+// Keys are used for this part of the bound after the last confirmation of the
+// view. The rest covers an answer of the store that was older than its sending.
+constexpr double kFreshPart = 0.72;
+// Callers are told to ask again after this time.
+constexpr Duration kLookupLife = std::chrono::seconds(2);
+// Addresses in one answer about hosts.
+constexpr std::size_t kMostHosts = 64;
+// New connections are accepted for this part of the grace time after SIGTERM,
+// because callers still use earlier answers about hosts.
+constexpr double kAcceptPart = 0.6;
+// Kept for the end of the process.
+constexpr Duration kExitMargin = std::chrono::milliseconds(500);
+constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
+// Descriptors for other uses than callers' connections.
+constexpr std::size_t kReservedDescriptors = 600;
+// Demand is published when it changed by this part since the last time.
+constexpr double kDemandChange = 0.25;
+constexpr double kLeastDemandChange = 2;
+
+bool
+DemandChanged(const std::map<std::string, double>& aOld,
+              const std::map<std::string, double>& aNew)
+{
+  const auto differs = [](const std::map<std::string, double>& aLeft,
+                          const std::map<std::string, double>& aRight) {
+    return std::any_of(aLeft.begin(), aLeft.end(), [&](const auto& aEntry) {
+      const auto found = aRight.find(aEntry.first);
+      const double other = found == aRight.end() ? 0 : found->second;
+      const double step = std::max(
+        kLeastDemandChange, kDemandChange * std::max(aEntry.second, other));
+      return std::abs(aEntry.second - other) > step;
+    });
+  };
+  return differs(aOld, aNew) || differs(aNew, aOld);
+}
+
+}
+
+struct Gateway::Impl
+{
+  Impl(GatewaySettings aSettings, GatewayAdapter aAdapter);
+  ~Impl();
+
+  FlowOptions MakeFlowOptions();
+  CallerHooks MakeCallerHooks();
+  ControlHooks MakeControlHooks();
+  ControlOptions MakeControlOptions() const;
+  bool Start(Error& aError);
+  bool Listen(Error& aError);
+  void StartControl();
+  int Run();
+  void OnSnapshot(const FleetSnapshotPtr& aSnapshot);
+  void OnTick();
+  void PublishSelf();
+  void HandleControl(const HttpRequest& aRequest, HttpReply& aReply);
+  bool IsReady() const;
+  bool KeysAreFresh(TimePoint aNow) const;
+  void WaitForSignal();
+  void Reload();
+  void BeginDrain();
+  void CheckDrain();
+  void End();
+
+  GatewaySettings settings_;
+  GatewayAdapter adapter_;
+  Metrics metrics_;
+  MetricGauge& droppedLines_;
+  // The time at which the view of the store was last known to be current.
+  std::atomic<TimePoint> confirmedAt_{ TimePoint::min() };
+  std::atomic<bool> draining_{ false };
+  DutyThread traffic_;
+  DutyThread control_;
+
+  // Owned by the traffic thread.
+  InstanceTable instances_;
+  FlowContext flow_;
+  CallerListener callers_;
+  HttpServer controlServer_;
+  HttpServer directoryServer_;
+  HttpServer metricsServer_;
+  asio::steady_timer tick_;
+  FleetSnapshotPtr snapshot_;
+  HostRecord self_;
+  HostRecord published_;
+
+  // Owned by the control thread.
+  std::unique_ptr<KvStore> store_;
+  std::unique_ptr<ControlLoop> loop_;
+
+  // Owned by the calling thread.
+  asio::io_context main_;
+  asio::signal_set signals_;
+  asio::steady_timer drainTimer_;
+  TimePoint drainSince_;
+};
+
+Gateway::Impl::Impl(GatewaySettings aSettings, GatewayAdapter aAdapter)
+  : settings_(std::move(aSettings))
+  , adapter_(std::move(aAdapter))
+  , droppedLines_(metrics_.Gauge("peridotsail_log_lines_dropped",
+                                 "Log lines over the limit or the queue."))
+  , traffic_("traffic", kRingTasks)
+  , control_("control", kRingTasks)
+  , instances_(settings_.regions_)
+  , flow_(traffic_.Context(),
+          MakeFlowOptions(),
+          instances_,
+          metrics_,
+          ColdStartOptions{ settings_.bounds_.coldOverage_,
+                            settings_.bounds_.coldSlack_ },
+          FleetRetryBudgetOptions{ settings_.bounds_.retryRatio_,
+                                   settings_.bounds_.retrySlack_ })
+  , callers_(traffic_.Context(),
+             MakeCallerHooks(),
+             settings_.mostDescriptors_ > 2 * kReservedDescriptors
+               ? settings_.mostDescriptors_ - kReservedDescriptors
+               : settings_.mostDescriptors_ / 2)
+  , controlServer_(traffic_.Context(),
+                   {},
+                   [this](const HttpRequest& aRequest,
+                          const std::shared_ptr<HttpReply>& aReply) {
+                     HandleControl(aRequest, *aReply);
+                   })
+  , directoryServer_(traffic_.Context(),
+                     {},
+                     [this](const HttpRequest& aRequest,
+                            const std::shared_ptr<HttpReply>& aReply) {
+                       HandleControl(aRequest, *aReply);
+                     })
+  , metricsServer_(traffic_.Context(),
+                   {},
+                   [this](const HttpRequest& aRequest,
+                          const std::shared_ptr<HttpReply>& aReply) {
+                     HandleControl(aRequest, *aReply);
+                   })
+  , tick_(traffic_.Context())
+  , signals_(main_, SIGTERM, SIGINT, SIGHUP)
+  , drainTimer_(main_)
+{
+  self_.name_ = settings_.name_;
+  self_.callers_ =
+    settings_.callers_.ip_ + ":" + std::to_string(settings_.callers_.port_);
+  self_.failureDomain_ = settings_.failureDomain_;
+  self_.region_ = settings_.region_;
+}
+
+Gateway::Impl::~Impl()
+{
+  control_.Stop();
+  traffic_.Stop();
+  loop_.reset();
+  store_.reset();
+}
+
+FlowOptions
+Gateway::Impl::MakeFlowOptions()
+{
+  FlowOptions options;
+  options.name_ = settings_.name_;
+  options.region_ = settings_.region_;
+  options.headers_ = adapter_.headers_;
+  options.keysAreFresh_ = [this](TimePoint aNow) { return KeysAreFresh(aNow); };
+  return options;
+}
+
+bool
+Gateway::Impl::KeysAreFresh(TimePoint aNow) const
+{
+  const TimePoint confirmed = confirmedAt_.load();
+  return confirmed != TimePoint::min() &&
+         ToSeconds(aNow - confirmed) <
+           kFreshPart * ToSeconds(settings_.bounds_.keyWithdrawal_);
+}
+
+CallerHooks
+Gateway::Impl::MakeCallerHooks()
+{
+  CallerHooks hooks;
+  hooks.limits_ = [this] {
+    return flow_.table_ ? flow_.table_->Limits() : GatewayLimits();
+  };
+  hooks.onRequest_ = [this](std::shared_ptr<CallerExchange> aCaller) {
+    return std::make_shared<RequestFlow>(flow_, std::move(aCaller))->Start();
+  };
+  hooks.onMalformed_ = [](int aStatus, const std::string& aReason) {
+    LogEvent(Event::RequestMalformed,
+             { { "status", aStatus }, { "reason", aReason } });
+  };
+  hooks.closing_ = [this] { return draining_.load(); };
+  return hooks;
+}
+
+ControlHooks
+Gateway::Impl::MakeControlHooks()
+{
+  ControlHooks hooks;
+  hooks.onSnapshot_ = [this](FleetSnapshotPtr aSnapshot) {
+    const bool posted = traffic_.Post(
+      [this, snapshot = std::move(aSnapshot)] { OnSnapshot(snapshot); });
+    if (!posted) {
+      LogEvent(Event::RingFull, { { "ring", "traffic" } });
+    }
+  };
+  hooks.onConfirmed_ = [this](TimePoint aSince) { confirmedAt_.store(aSince); };
+  return hooks;
+}
+
+ControlOptions
+Gateway::Impl::MakeControlOptions() const
+{
+  ControlOptions options;
+  options.name_ = settings_.name_;
+  options.prefixes_ = adapter_.prefixes_;
+  options.leaseLife_ =
+    std::max(options.leaseLife_, settings_.bounds_.shortestLease_);
+  return options;
+}
+
+bool
+Gateway::Impl::Listen(Error& aError)
+{
+  if (!callers_.Listen(settings_.callers_, aError) ||
+      !controlServer_.Listen(settings_.readiness_, aError) ||
+      !directoryServer_.Listen(settings_.directory_, aError)) {
+    return false;
+  }
+  return !settings_.metrics_ ||
+         metricsServer_.Listen(*settings_.metrics_, aError);
+}
+
+bool
+Gateway::Impl::Start(Error& aError)
+{
+  if (!Listen(aError)) {
+    return false;
+  }
+  StartControl();
+  OnTick();
+  traffic_.Start();
+  control_.Start();
+  WaitForSignal();
+  LogEvent(Event::ProcessStarted,
+           { { "region", settings_.region_ },
+             { "failure_domain", settings_.failureDomain_ },
+             { "callers", self_.callers_ } });
+  return true;
+}
+
+void
+Gateway::Impl::StartControl()
+{
+  store_ = adapter_.makeStore_(control_.Context());
+  loop_ = std::make_unique<ControlLoop>(control_.Context(),
+                                        *store_,
+                                        adapter_.codec_,
+                                        MakeControlOptions(),
+                                        MakeControlHooks());
+  loop_->SetSelf(self_);
+  published_ = self_;
+  loop_->Start();
+}
+
+void
+Gateway::Impl::OnSnapshot(const FleetSnapshotPtr& aSnapshot)
+{
+  snapshot_ = aSnapshot;
+  flow_.table_ = aSnapshot->table_;
+  instances_.Apply(*aSnapshot);
+  const TimePoint now = BootClock::now();
+  std::size_t inRegion = 0;
+  for (const auto& [name, host] : aSnapshot->hosts_) {
+    inRegion += host.region_ == settings_.region_ ? 1 : 0;
+    for (const std::string& fingerprint : host.quarantined_) {
+      if (name != settings_.name_) {
+        flow_.quarantine_.Apply({ fingerprint, {}, true, {} }, now);
+      }
+    }
+  }
+  flow_.hostsInRegion_ = std::max<std::size_t>(inRegion, 1);
+  flow_.retries_.SetHosts(aSnapshot->hosts_.size());
+  if (flow_.table_) {
+    flow_.allowances_.Apply(
+      *flow_.table_, aSnapshot->hosts_, settings_.name_, now);
+  }
+}
+
+void
+Gateway::Impl::OnTick()
+{
+  tick_.expires_after(ToSteady(kTick));
+  tick_.async_wait([this](ErrorCode aError) {
+    if (aError) {
+      return;
+    }
+    const TimePoint now = BootClock::now();
+    flow_.connections_.CloseExpired(now);
+    self_.demand_ = flow_.allowances_.MeasureDemand(now);
+    self_.quarantined_ = flow_.quarantine_.Refused(now);
+    droppedLines_.Set(static_cast<double>(DroppedLogLines()));
+    PublishSelf();
+    OnTick();
+  });
+}
+
+void
+Gateway::Impl::PublishSelf()
+{
+  self_.draining_ = draining_.load();
+  const bool changed = self_.draining_ != published_.draining_ ||
+                       self_.quarantined_ != published_.quarantined_ ||
+                       DemandChanged(published_.demand_, self_.demand_);
+  if (!changed) {
+    return;
+  }
+  if (control_.Post([this, self = self_] { loop_->SetSelf(self); })) {
+    published_ = self_;
+  } else {
+    LogEvent(Event::RingFull, { { "ring", "control" } });
+  }
+}
+
+bool
+Gateway::Impl::IsReady() const
+{
+  return flow_.table_ && !draining_.load();
+}
+
+void
+Gateway::Impl::HandleControl(const HttpRequest& aRequest, HttpReply& aReply)
+{
+  if (adapter_.isReadyCall_(aRequest)) {
+    aReply.Send({ IsReady() ? 200 : 503, {}, "" });
+    return;
+  }
+  if (const auto region = adapter_.lookupRegion_(aRequest)) {
+    std::map<std::string, HostRecord> hosts;
+    if (snapshot_) {
+      hosts = snapshot_->hosts_;
+    }
+    hosts[settings_.name_] = self_;
+    hosts[settings_.name_].draining_ = draining_.load();
+    const auto addresses = HostsFor(hosts, *region, kMostHosts);
+    if (addresses.empty() || !flow_.table_) {
+      aReply.Send({ 503, {}, "" });
+      return;
+    }
+    const Duration life = std::min(kLookupLife, settings_.bounds_.lookupLife_);
+    aReply.Send({ 200,
+                  { { "Content-Type", "application/json" } },
+                  adapter_.encodeHosts_(addresses, life) });
+    return;
+  }
+  if (PathOf(aRequest.target_) == adapter_.metricsPath_) {
+    aReply.Send(
+      { 200, { { "Content-Type", "text/plain" } }, metrics_.Render() });
+    return;
+  }
+  aReply.Send({ 404, {}, "" });
+}
+
+void
+Gateway::Impl::WaitForSignal()
+{
+  signals_.async_wait([this](ErrorCode aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      Reload();
+    } else if (!draining_.exchange(true)) {
+      BeginDrain();
+    }
+    WaitForSignal();
+  });
+}
+
+// Addresses and bounds hold for the life of the process; the settings are read
+// and checked, so that a fault in them is seen before the next start.
+void
+Gateway::Impl::Reload()
+{
+  std::string reason;
+  const auto settings = adapter_.readSettings_(reason);
+  LogEvent(Event::SettingsReloaded,
+           { { "usable", settings ? 1 : 0 }, { "reason", reason } });
+}
+
+void
+Gateway::Impl::BeginDrain()
+{
+  drainSince_ = BootClock::now();
+  LogEvent(Event::ProcessStopping);
+  traffic_.Post([this] { PublishSelf(); });
+  CheckDrain();
+}
+
+void
+Gateway::Impl::CheckDrain()
+{
+  const Duration spent = BootClock::now() - drainSince_;
+  const Duration grace = settings_.bounds_.grace_;
+  bool idle = false;
+  if (spent >= FromSeconds(ToSeconds(grace) * kAcceptPart)) {
+    traffic_.RunAndWait([this, &idle] {
+      callers_.Close();
+      callers_.CloseIdle();
+      idle = flow_.inFlight_ == 0 && callers_.Connections() == 0;
+    });
+  }
+  if (idle || spent >= grace - kExitMargin) {
+    End();
+    return;
+  }
+  drainTimer_.expires_after(ToSteady(kDrainCheck));
+  drainTimer_.async_wait([this](ErrorCode aError) {
+    if (!aError) {
+      CheckDrain();
+    }
+  });
+}
+
+void
+Gateway::Impl::End()
+{
+  const auto done = std::make_shared<std::promise<void>>();
+  std::future<void> left = done->get_future();
+  const bool posted = control_.Post(
+    [this, done] { loop_->Leave([done] { done->set_value(); }); });
+  if (posted) {
+    // The lease ends by itself when the store does not answer.
+    left.wait_for(std::chrono::milliseconds(200));
+  }
+  LogEvent(Event::ProcessStopped);
+  main_.stop();
+}
+
+int
+Gateway::Impl::Run()
+{
+  main_.run();
+  control_.Stop();
+  traffic_.Stop();
+  return 0;
+}
+
+Gateway::Gateway(GatewaySettings aSettings, GatewayAdapter aAdapter)
+  : impl_(std::make_unique<Impl>(std::move(aSettings), std::move(aAdapter)))
+{
+}
+
+Gateway::~Gateway() = default;
+
+bool
+Gateway::Start(Error& aError)
+{
+  return impl_->Start(aError);
+}
+
+int
+Gateway::Run()
+{
+  return impl_->Run();
+}
+
+}
--- /dev/null
+++ b/src/gateway/InstanceChooser.cc
@@ -0,0 +1,142 @@
+#include "gateway/InstanceChooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace peridotsail {
+
+namespace {
+
+struct Scored
+{
+  const InstancePtr* instance_;
+  double score_;
+};
+
+// Spreads the bits of a hash (the finalizer of SplitMix64).
+std::uint64_t
+Mix(std::uint64_t aValue)
+{
+  aValue ^= aValue >> 30;
+  aValue *= 0xbf58476d1ce4e5b9ULL;
+  aValue ^= aValue >> 27;
+  aValue *= 0x94d049bb133111ebULL;
+  return aValue ^ (aValue >> 31);
+}
+
+double
+WeightOf(const Instance& aInstance,
+         const ChoiceQuery& aQuery,
+         const ChooserOptions& aOptions)
+{
+  const bool local = aInstance.Region() == aQuery.region_;
+  return aInstance.Record().slots_ * (local ? 1.0 : aOptions.remoteWeight_);
+}
+
+// Weighted rendezvous hashing: the highest score wins, each server in
+// proportion to its weight.
+double
+ObjectScore(const Instance& aInstance, double aWeight, std::uint64_t aObject)
+{
+  constexpr double kHashRange = 18446744073709551616.0;
+  const std::uint64_t hash =
+    Mix(aObject ^ Mix(std::hash<std::string>()(aInstance.Record().id_)));
+  const double unit = (static_cast<double>(hash) + 0.5) / kHashRange;
+  return -aWeight / std::log(unit);
+}
+
+// Higher for a server with more free room.
+double
+RoomScore(const Instance& aInstance,
+          double aWeight,
+          TimePoint aNow,
+          Duration aLife)
+{
+  double load = aInstance.inFlight_;
+  if (aNow - aInstance.Load().at_ < aLife) {
+    load = std::max(load,
+                    static_cast<double>(aInstance.Load().running_ +
+                                        aInstance.Load().waiting_));
+  }
+  return aWeight / (1.0 + load);
+}
+
+bool
+IsFull(const Instance& aInstance,
+       TimePoint aNow,
+       const ChooserOptions& aOptions)
+{
+  const bool recent = aNow - aInstance.Load().at_ < aOptions.loadLifetime_;
+  if (recent && aInstance.Load().waiting_ >= aOptions.mostWaiting_) {
+    return true;
+  }
+  return aInstance.inFlight_ >=
+         aInstance.Record().slots_ + aOptions.mostOwnBeyondSlots_;
+}
+
+std::vector<Scored>
+Rank(const std::vector<InstancePtr>& aCandidates,
+     const ChoiceQuery& aQuery,
+     TimePoint aNow,
+     const ChooserOptions& aOptions)
+{
+  std::vector<Scored> ranked;
+  for (const InstancePtr& instance : aCandidates) {
+    const bool allowed = instance->IsUsable(aNow) &&
+                         IsHome(aQuery.homeRegions_, instance->Region()) &&
+                         aQuery.tried_.count(instance->Record().id_) == 0;
+    if (!allowed) {
+      continue;
+    }
+    const double weight = WeightOf(*instance, aQuery, aOptions);
+    const double score =
+      aQuery.hasObject_
+        ? ObjectScore(*instance, weight, aQuery.objectHash_)
+        : RoomScore(*instance, weight, aNow, aOptions.loadLifetime_);
+    ranked.push_back({ &instance, score });
+  }
+  std::sort(ranked.begin(),
+            ranked.end(),
+            [](const Scored& aLeft, const Scored& aRight) {
+              return aLeft.score_ > aRight.score_;
+            });
+  return ranked;
+}
+
+}
+
+bool
+IsHome(const std::vector<std::string>& aHomeRegions, const std::string& aRegion)
+{
+  return aHomeRegions.empty() ||
+         std::find(aHomeRegions.begin(), aHomeRegions.end(), aRegion) !=
+           aHomeRegions.end();
+}
+
+InstancePtr
+ChooseInstance(const std::vector<InstancePtr>& aCandidates,
+               const ChoiceQuery& aQuery,
+               TimePoint aNow,
+               const ChooserOptions& aOptions)
+{
+  const std::vector<Scored> ranked = Rank(aCandidates, aQuery, aNow, aOptions);
+  InstancePtr full;
+  for (const Scored& scored : ranked) {
+    const InstancePtr& instance = *scored.instance_;
+    if (IsFull(*instance, aNow, aOptions)) {
+      if (!full && !instance->IsCold(aNow)) {
+        full = instance;
+      }
+      continue;
+    }
+    if (instance->IsCold(aNow) && !aQuery.admitCold_(*instance)) {
+      continue;
+    }
+    return instance;
+  }
+  // All are nearly full: the object's own server is as good as any other.
+  return full;
+}
+
+}
--- /dev/null
+++ b/src/gateway/InstanceChooser.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// Chooses the backend server for a request. Pure; needs no network.
+//
+// Requests for one object go to the same server from all hosts of a region
+// without talk between them (weighted rendezvous hashing over the servers),
+// because a server that handled the object recently needs a third of the time.
+// Servers of other regions have a lower weight. An object leaves its first
+// server only when the queue there is nearly full: a move runs the object cold
+// at the next server, which costs more than a wait for several warm runs.
+//
+//   ChoiceQuery query;
+//   query.objectHash_ = HashOf(route, object);
+//   InstancePtr instance = ChooseInstance(candidates, query, now, options);
+
+#include "gateway/InstanceTable.h"
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+struct ChooserOptions
+{
+  // The weight of a slot in another region against one in the own region.
+  double remoteWeight_ = 0.2;
+  // Waiting requests that a server reports beyond which it is passed over.
+  int mostWaiting_ = 7;
+  // Requests of this host at the server beyond its slots.
+  int mostOwnBeyondSlots_ = 8;
+  // An older load report says nothing about the queue now.
+  Duration loadLifetime_ = std::chrono::milliseconds(300);
+};
+
+struct ChoiceQuery
+{
+  // Equal for all requests of one object.
+  std::uint64_t objectHash_ = 0;
+  // False for requests without an object: the least loaded server is chosen.
+  bool hasObject_ = false;
+  std::string region_;
+  // Empty: any region.
+  std::vector<std::string> homeRegions_;
+  // Servers that must not be chosen again for this request.
+  std::set<std::string> tried_;
+  // Takes one unit from the cold server's admission; false: not now.
+  std::function<bool(const Instance&)> admitCold_;
+};
+
+// Null when no server can take the request.
+InstancePtr
+ChooseInstance(const std::vector<InstancePtr>& aCandidates,
+               const ChoiceQuery& aQuery,
+               TimePoint aNow,
+               const ChooserOptions& aOptions);
+
+// Whether a request with these homes may run in the region.
+bool
+IsHome(const std::vector<std::string>& aHomeRegions,
+       const std::string& aRegion);
+
+}
--- /dev/null
+++ b/src/gateway/InstanceTable.cc
@@ -0,0 +1,121 @@
+#include "gateway/InstanceTable.h"
+
+#include "base/EventLog.h"
+
+#include <algorithm>
+
+namespace peridotsail {
+
+Instance::Instance(InstanceRecord aRecord)
+  : record_(std::move(aRecord))
+{
+}
+
+bool
+Instance::IsUsable(TimePoint aNow) const
+{
+  return registered_ && !evacuated_ && !record_.draining_ && !IsPaused(aNow);
+}
+
+void
+Instance::Pause(TimePoint aNow, const InstanceHealthOptions& aOptions)
+{
+  pause_ = pause_ == Duration::zero()
+             ? aOptions.firstPause_
+             : std::min(pause_ * 2, aOptions.longestPause_);
+  pausedUntil_ = aNow + pause_;
+  failureRate_ = aOptions.rateAtReturn_;
+  LogEvent(Event::BackendServerState,
+           { { "server", record_.id_ },
+             { "state", "paused" },
+             { "seconds", ToSeconds(pause_) } });
+}
+
+void
+Instance::Signal(InstanceSignal aSignal,
+                 TimePoint aNow,
+                 const InstanceHealthOptions& aOptions)
+{
+  const bool failed = aSignal != InstanceSignal::Success;
+  if (aSignal == InstanceSignal::Unreachable) {
+    ++unreachable_;
+  } else {
+    unreachable_ = 0;
+  }
+  failureRate_ += aOptions.weight_ * ((failed ? 1.0 : 0.0) - failureRate_);
+  if (!failed) {
+    if (failureRate_ < aOptions.rateAtReturn_ / 2) {
+      pause_ = Duration::zero();
+    }
+    return;
+  }
+  const bool unreachable = unreachable_ >= aOptions.unreachableLimit_;
+  if (!IsPaused(aNow) &&
+      (unreachable || failureRate_ > aOptions.failureLimit_)) {
+    Pause(aNow, aOptions);
+  }
+}
+
+InstanceTable::InstanceTable(std::map<std::string, std::string> aRegions)
+  : regions_(std::move(aRegions))
+{
+}
+
+void
+InstanceTable::Apply(const FleetSnapshot& aSnapshot)
+{
+  for (auto it = instances_.begin(); it != instances_.end();) {
+    if (aSnapshot.instances_.count(it->first) == 0) {
+      it->second->registered_ = false;
+      it = instances_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const auto& [id, record] : aSnapshot.instances_) {
+    const auto readAt = aSnapshot.readAt_.find(id);
+    const TimePoint at =
+      readAt == aSnapshot.readAt_.end() ? TimePoint::min() : readAt->second;
+    ApplyRecord(record, at, aSnapshot);
+  }
+  byService_.clear();
+  for (const auto& [id, instance] : instances_) {
+    byService_[instance->record_.service_].push_back(instance);
+  }
+}
+
+void
+InstanceTable::ApplyRecord(const InstanceRecord& aRecord,
+                           TimePoint aReadAt,
+                           const FleetSnapshot& aSnapshot)
+{
+  const auto region = regions_.find(aRecord.failureDomain_);
+  if (region == regions_.end()) {
+    return;
+  }
+  InstancePtr& instance = instances_[aRecord.id_];
+  // A new lifetime knows nothing of before: neither does this host.
+  const bool replaced = instance && instance->record_.born_ != aRecord.born_;
+  if (!instance || replaced) {
+    if (replaced) {
+      instance->registered_ = false;
+    }
+    instance = std::make_shared<Instance>(aRecord);
+    instance->region_ = region->second;
+  }
+  instance->record_ = aRecord;
+  instance->coldUntil_ = aReadAt == TimePoint::min()
+                           ? TimePoint::min()
+                           : aReadAt + aRecord.coldLeft_;
+  instance->evacuated_ = aSnapshot.evacuated_.count(aRecord.failureDomain_) > 0;
+}
+
+const std::vector<InstancePtr>&
+InstanceTable::OfService(const std::string& aService) const
+{
+  static const std::vector<InstancePtr> kNone;
+  const auto found = byService_.find(aService);
+  return found == byService_.end() ? kNone : found->second;
+}
+
+}
--- /dev/null
+++ b/src/gateway/InstanceTable.h
@@ -0,0 +1,121 @@
+#pragma once
+
+// What this host knows of each backend server: its registration, the requests
+// that this host has there, the load that it reports and its recent failures.
+// Used on the traffic thread only.
+//
+//   table.Apply(snapshot, now);
+//   for (Instance* instance : table.OfService("inbox")) { ... }
+
+#include "base/BootClock.h"
+#include "gateway/FleetTypes.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+// The load that a backend server reports with its answers.
+struct ReportedLoad
+{
+  int running_ = 0;
+  int waiting_ = 0;
+  TimePoint at_ = TimePoint::min();
+};
+
+// How one request at a backend server ended, as far as its health is concerned.
+enum class InstanceSignal
+{
+  Success,
+  // The server refused the request without running it.
+  Shed,
+  // The server ran the request and failed, or sent a broken answer.
+  Failure,
+  // The connection could not be opened.
+  Unreachable,
+  // The connection ended or went silent during the request.
+  ConnectionLost,
+};
+
+struct InstanceHealthOptions
+{
+  // Weight of the newest request in the failure rate.
+  double weight_ = 0.15;
+  // A server whose failure rate is higher is left out for a while.
+  double failureLimit_ = 0.5;
+  // The rate at which a server returns; a few successes clear it.
+  double rateAtReturn_ = 0.25;
+  // The pause doubles with each failed return.
+  Duration firstPause_ = std::chrono::milliseconds(1000);
+  Duration longestPause_ = std::chrono::seconds(8);
+  // Failed connection attempts in a row that lead to a pause.
+  int unreachableLimit_ = 1;
+};
+
+class Instance
+{
+public:
+  explicit Instance(InstanceRecord aRecord);
+
+  const InstanceRecord& Record() const { return record_; }
+  const std::string& Region() const { return region_; }
+  bool IsCold(TimePoint aNow) const { return aNow < coldUntil_; }
+  // Left out because of failures.
+  bool IsPaused(TimePoint aNow) const { return aNow < pausedUntil_; }
+  bool IsUsable(TimePoint aNow) const;
+  void ReportLoad(const ReportedLoad& aLoad) { load_ = aLoad; }
+  const ReportedLoad& Load() const { return load_; }
+  void Signal(InstanceSignal aSignal,
+              TimePoint aNow,
+              const InstanceHealthOptions& aOptions);
+
+  // Requests of this host at the server.
+  int inFlight_ = 0;
+  // Open connections of this host, idle ones included.
+  int connections_ = 0;
+
+private:
+  friend class InstanceTable;
+
+  void Pause(TimePoint aNow, const InstanceHealthOptions& aOptions);
+
+  InstanceRecord record_;
+  std::string region_;
+  TimePoint coldUntil_ = TimePoint::min();
+  TimePoint pausedUntil_ = TimePoint::min();
+  Duration pause_{};
+  ReportedLoad load_;
+  double failureRate_ = 0;
+  int unreachable_ = 0;
+  // False once the registration is gone.
+  bool registered_ = true;
+  bool evacuated_ = false;
+};
+
+using InstancePtr = std::shared_ptr<Instance>;
+
+class InstanceTable
+{
+public:
+  // aRegions gives the region of each failure domain.
+  explicit InstanceTable(std::map<std::string, std::string> aRegions);
+
+  // Takes over a snapshot; servers that are no longer in it are not offered
+  // again, but stay alive while requests refer to them.
+  void Apply(const FleetSnapshot& aSnapshot);
+  const std::vector<InstancePtr>& OfService(const std::string& aService) const;
+  std::size_t Size() const { return instances_.size(); }
+
+private:
+  void ApplyRecord(const InstanceRecord& aRecord,
+                   TimePoint aReadAt,
+                   const FleetSnapshot& aSnapshot);
+
+  std::map<std::string, std::string> regions_;
+  std::map<std::string, InstancePtr> instances_;
+  std::map<std::string, std::vector<InstancePtr>> byService_;
+};
+
+}
--- /dev/null
+++ b/src/gateway/RequestFlow.cc
@@ -0,0 +1,634 @@
+#include "gateway/RequestFlow.h"
+
+#include "base/EventLog.h"
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <functional>
+
+namespace peridotsail::detail {
+
+namespace {
+
+// The wait of a caller that states none.
+constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+// Body bytes that distinguish requests with the same target.
+constexpr std::size_t kFingerprintBody = 256;
+// A caller honours Retry-After up to a third of the time that it has left.
+constexpr double kRetryAfterPart = 0.3;
+
+const char* const kHopHeaders[] = { "Connection",
+                                    "Keep-Alive",
+                                    "Proxy-Authenticate",
+                                    "Proxy-Authorization",
+                                    "Proxy-Connection",
+                                    "TE",
+                                    "Trailer",
+                                    "Transfer-Encoding",
+                                    "Upgrade",
+                                    "Content-Length",
+                                    "Expect" };
+
+bool
+IsHopHeader(std::string_view aName)
+{
+  return std::any_of(
+    std::begin(kHopHeaders), std::end(kHopHeaders), [&](const char* aHop) {
+      return EqualIgnoreCase(aName, aHop);
+    });
+}
+
+// Headers that the Connection header names concern this connection only.
+bool
+IsNamedByConnection(const HttpHeaders& aHeaders, std::string_view aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (EqualIgnoreCase(header.name_, "Connection") &&
+        http::token_list(header.value_)
+          .exists({ aName.data(), aName.size() })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// The value of a cookie, or empty.
+std::string
+CookieValue(const HttpHeaders& aHeaders, const std::string& aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (!EqualIgnoreCase(header.name_, "Cookie")) {
+      continue;
+    }
+    std::string_view rest = header.value_;
+    while (!rest.empty()) {
+      const std::size_t end = std::min(rest.find(';'), rest.size());
+      std::string_view pair = rest.substr(0, end);
+      rest.remove_prefix(std::min(end + 1, rest.size()));
+      while (!pair.empty() && pair.front() == ' ') {
+        pair.remove_prefix(1);
+      }
+      const std::size_t equals = pair.find('=');
+      if (equals != std::string_view::npos && pair.substr(0, equals) == aName) {
+        return std::string(pair.substr(equals + 1));
+      }
+    }
+  }
+  return "";
+}
+
+std::string
+HeaderOr(const HttpHeaders& aHeaders, const std::string& aName)
+{
+  const std::string* value = FindHeader(aHeaders, aName);
+  return value == nullptr ? "" : *value;
+}
+
+std::string
+HostWithoutPort(const std::string& aHost)
+{
+  return aHost.substr(0, aHost.rfind(':'));
+}
+
+std::int64_t
+Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+}
+
+FlowMetrics::FlowMetrics(Metrics& aMetrics)
+  : requests_(
+      aMetrics.Counter("peridotsail_requests_total", "Requests of callers."))
+  , attempts_(aMetrics.Counter("peridotsail_attempts_total",
+                               "Requests sent to backend servers."))
+  , retries_(aMetrics.Counter("peridotsail_retries_total",
+                              "Attempts beyond the first of a request."))
+  , abandoned_(aMetrics.Counter("peridotsail_abandoned_total",
+                                "Requests whose caller left."))
+  , latency_(aMetrics.Latency("peridotsail_request_seconds",
+                              "Time from a request's arrival to its answer."))
+  , all_(aMetrics)
+{
+}
+
+FlowContext::FlowContext(asio::io_context& aContext,
+                         FlowOptions aOptions,
+                         InstanceTable& aInstances,
+                         Metrics& aMetrics,
+                         ColdStartOptions aColdStart,
+                         FleetRetryBudgetOptions aRetries)
+  : context_(aContext)
+  , options_(std::move(aOptions))
+  , instances_(aInstances)
+  , connections_(aContext, {})
+  , allowances_({})
+  , coldStarts_(aColdStart)
+  , retries_(aRetries)
+  , metrics_(aMetrics)
+  , random_(std::random_device()())
+{
+}
+
+RequestFlow::RequestFlow(FlowContext& aContext,
+                         std::shared_ptr<CallerExchange> aCaller)
+  : flow_(aContext)
+  , caller_(std::move(aCaller))
+  , timer_(aContext.context_)
+{
+  ++flow_.inFlight_;
+}
+
+RequestFlow::~RequestFlow()
+{
+  --flow_.inFlight_;
+}
+
+CallerHooks::Handling
+RequestFlow::Start()
+{
+  flow_.metrics_.requests_.Add(1);
+  const CallerRequest& request = caller_->Request();
+  requestId_ = HeaderOr(request.headers_, flow_.options_.headers_.requestId_);
+  if (!FindRoute()) {
+    return {};
+  }
+  CallerHooks::Handling handling;
+  handling.onGone_ = [self = shared_from_this()] { self->OnCallerGone(); };
+  // A non-idempotent request behind others waits for their answers: one of
+  // them may end the connection, and the caller would send it again.
+  if (route_->kind_ == RequestKind::Safe || caller_->IsFirst()) {
+    Begin();
+  } else {
+    handling.onFirst_ = [self = shared_from_this()] { self->Begin(); };
+  }
+  return handling;
+}
+
+void
+RequestFlow::Begin()
+{
+  if (begun_ || finished_) {
+    return;
+  }
+  begun_ = true;
+  if (!FindRoute() || !CheckKey() || !CheckQuarantine() || !CheckAllowance()) {
+    return;
+  }
+  ChooseService();
+  SetDeadline();
+  body_ = std::make_shared<const std::string>(caller_->Request().body_);
+  flow_.retries_.RecordRequest(service_, BootClock::now());
+  Attempt();
+}
+
+bool
+RequestFlow::FindRoute()
+{
+  table_ = flow_.table_;
+  if (!table_) {
+    Refuse(503, "no-configuration", flow_.options_.retryAfter_);
+    return false;
+  }
+  const CallerRequest& request = caller_->Request();
+  route_ =
+    table_->FindRoute(HostWithoutPort(request.host_), PathOf(request.target_));
+  if (route_ == nullptr) {
+    Refuse(404, "no-route", Duration::zero());
+    return false;
+  }
+  return true;
+}
+
+bool
+RequestFlow::CheckKey()
+{
+  if (!table_->HasCustomers() || route_->open_) {
+    return true;
+  }
+  if (!flow_.options_.keysAreFresh_(BootClock::now())) {
+    // Another host may still reach the store.
+    Refuse(503, "keys-not-fresh", flow_.options_.retryAfter_);
+    return false;
+  }
+  const std::string text =
+    HeaderOr(caller_->Request().headers_, "Authorization");
+  const std::string scheme = flow_.options_.headers_.keyScheme_ + " ";
+  if (text.compare(0, scheme.size(), scheme) == 0) {
+    customer_ = table_->FindCustomer(text.substr(scheme.size()));
+  }
+  if (customer_ == nullptr) {
+    Refuse(401, "unknown-key", Duration::zero());
+    return false;
+  }
+  return true;
+}
+
+bool
+RequestFlow::CheckQuarantine()
+{
+  const CallerRequest& request = caller_->Request();
+  fingerprint_ = MakeFingerprint(customer_ == nullptr ? "" : customer_->name_,
+                                 request.method_,
+                                 request.target_,
+                                 request.body_.size(),
+                                 request.body_.substr(0, kFingerprintBody));
+  const auto verdict = flow_.quarantine_.Check(fingerprint_, BootClock::now());
+  if (verdict == QuarantineVerdict::Refuse) {
+    Refuse(503, "quarantined", std::chrono::seconds(60));
+    return false;
+  }
+  return true;
+}
+
+bool
+RequestFlow::CheckAllowance()
+{
+  if (customer_ == nullptr) {
+    return true;
+  }
+  const Admission admission =
+    flow_.allowances_.TryTake(*customer_, BootClock::now());
+  if (!admission.admitted_) {
+    Refuse(429, "allowance-used-up", admission.retryAfter_);
+  }
+  return admission.admitted_;
+}
+
+void
+RequestFlow::ChooseService()
+{
+  object_ = CookieValue(caller_->Request().headers_,
+                        flow_.options_.headers_.objectCookie_);
+  double total = 0;
+  for (const WeightedService& service : route_->services_) {
+    total += service.weight_;
+  }
+  double point =
+    std::uniform_real_distribution<double>(0, total)(flow_.random_);
+  service_ = route_->services_.back().service_;
+  for (const WeightedService& service : route_->services_) {
+    point -= service.weight_;
+    if (point < 0) {
+      service_ = service.service_;
+      break;
+    }
+  }
+}
+
+void
+RequestFlow::SetDeadline()
+{
+  const CallerRequest& request = caller_->Request();
+  Duration limit = kDefaultDeadline;
+  const std::string text =
+    HeaderOr(request.headers_, flow_.options_.headers_.deadline_);
+  std::int64_t milliseconds = 0;
+  const auto parsed =
+    std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  if (!text.empty() && parsed.ec == std::errc()) {
+    limit = std::chrono::milliseconds(milliseconds);
+  }
+  if (route_->timeout_ > Duration::zero()) {
+    limit = std::min(limit, route_->timeout_);
+  }
+  deadline_ = request.arrivedAt_ + limit;
+  timer_.expires_after(ToSteady(TimeLeft()));
+  timer_.async_wait([self = shared_from_this()](ErrorCode aError) {
+    if (!aError) {
+      self->OnTimeout();
+    }
+  });
+}
+
+Duration
+RequestFlow::TimeLeft() const
+{
+  return std::max(Duration::zero(), deadline_ - BootClock::now());
+}
+
+InstancePtr
+RequestFlow::Choose()
+{
+  ChoiceQuery query;
+  query.hasObject_ = !object_.empty();
+  query.objectHash_ = std::hash<std::string>()(route_->name_ + '\n' + object_);
+  query.region_ = flow_.options_.region_;
+  query.homeRegions_ = route_->homeRegions_;
+  if (customer_ != nullptr && !customer_->homeRegions_.empty()) {
+    // Both bind where both are stated.
+    if (query.homeRegions_.empty()) {
+      query.homeRegions_ = customer_->homeRegions_;
+    } else {
+      query.homeRegions_.clear();
+      for (const std::string& region : route_->homeRegions_) {
+        if (IsHome(customer_->homeRegions_, region)) {
+          query.homeRegions_.push_back(region);
+        }
+      }
+      if (query.homeRegions_.empty()) {
+        return nullptr;
+      }
+    }
+  }
+  query.tried_ = tried_;
+  query.admitCold_ = [this](const Instance& aInstance) {
+    return AdmitCold(aInstance);
+  };
+  return ChooseInstance(flow_.instances_.OfService(service_),
+                        query,
+                        BootClock::now(),
+                        flow_.options_.chooser_);
+}
+
+bool
+RequestFlow::AdmitCold(const Instance& aInstance)
+{
+  if (aInstance.Region() != flow_.options_.region_) {
+    return false;
+  }
+  const GatewayService* service = table_->FindService(service_);
+  const double perSecond = service == nullptr ? 0 : service->coldPerSecond_;
+  return flow_.coldStarts_.TryTake(
+    aInstance.Record().id_, perSecond, flow_.hostsInRegion_, BootClock::now());
+}
+
+std::string
+RequestFlow::MakeHead(const Instance& aInstance) const
+{
+  const CallerRequest& request = caller_->Request();
+  const GatewayHeaders& names = flow_.options_.headers_;
+  std::string head = request.method_ + ' ' + request.target_ + " HTTP/1.1\r\n";
+  const auto add = [&head](std::string_view aName, std::string_view aValue) {
+    head.append(aName).append(": ").append(aValue).append("\r\n");
+  };
+  for (const HttpHeader& header : request.headers_) {
+    const bool own = EqualIgnoreCase(header.name_, names.deadline_) ||
+                     EqualIgnoreCase(header.name_, names.expectedInstance_) ||
+                     EqualIgnoreCase(header.name_, names.customer_) ||
+                     EqualIgnoreCase(header.name_, "Authorization");
+    if (!own && !IsHopHeader(header.name_) &&
+        !IsNamedByConnection(request.headers_, header.name_)) {
+      add(header.name_, header.value_);
+    }
+  }
+  add(names.deadline_, std::to_string(Milliseconds(TimeLeft())));
+  add(names.expectedInstance_, aInstance.Record().id_);
+  if (customer_ != nullptr) {
+    add(names.customer_, customer_->name_);
+  }
+  const bool hasBody = !body_->empty() ||
+                       FindHeader(request.headers_, "Content-Length") ||
+                       FindHeader(request.headers_, "Transfer-Encoding");
+  if (hasBody) {
+    add("Content-Length", std::to_string(body_->size()));
+  }
+  return head + "\r\n";
+}
+
+void
+RequestFlow::Attempt()
+{
+  const InstancePtr instance = Choose();
+  if (!instance) {
+    if (mayHaveRun_) {
+      Refuse(502, "no-further-server", Duration::zero());
+    } else {
+      Refuse(503, "no-server", flow_.options_.retryAfter_);
+    }
+    return;
+  }
+  ++attempts_;
+  tried_.insert(instance->Record().id_);
+  flow_.metrics_.attempts_.Add(1);
+  LogEvent(Event::RouteDecision,
+           { { "request", requestId_ },
+             { "route", route_->name_ },
+             { "version", table_->Version() },
+             { "customer", customer_ == nullptr ? "" : customer_->name_ },
+             { "object", object_ },
+             { "service", service_ },
+             { "server", instance->Record().id_ },
+             { "server_region", instance->Region() },
+             { "in_flight", instance->inFlight_ },
+             { "waiting", instance->Load().waiting_ },
+             { "attempt", attempts_ },
+             { "left_ms", Milliseconds(TimeLeft()) } });
+  ServerRequest request;
+  request.instance_ = instance;
+  request.requestId_ = requestId_;
+  request.head_ = MakeHead(*instance);
+  request.body_ = body_;
+  request.isHead_ = caller_->Request().method_ == "HEAD";
+  flow_.quarantine_.Started(fingerprint_);
+  exchange_ = std::make_shared<ServerExchange>(
+    flow_.connections_,
+    flow_.options_.headers_,
+    std::move(request),
+    [self = shared_from_this(), instance](ServerExchangeResult aResult) {
+      self->OnExchange(instance, std::move(aResult));
+    });
+  exchange_->Start();
+}
+
+void
+RequestFlow::Learn(const InstancePtr& aInstance,
+                   const ServerExchangeResult& aResult)
+{
+  const TimePoint now = BootClock::now();
+  const std::string& id = aInstance->Record().id_;
+  InstanceSignal signal = InstanceSignal::Success;
+  if (aResult.unreachable_) {
+    signal = InstanceSignal::Unreachable;
+  } else if (aResult.outcome_ == ExchangeOutcome::NotRun) {
+    signal = InstanceSignal::Shed;
+  } else if (aResult.outcome_ == ExchangeOutcome::ConnectionLost) {
+    signal = InstanceSignal::ConnectionLost;
+  } else if (aResult.outcome_ == ExchangeOutcome::BrokenAnswer ||
+             aResult.answer_.status_ / 100 == 5) {
+    signal = InstanceSignal::Failure;
+  }
+  aInstance->Signal(signal, now, flow_.options_.health_);
+  if (aResult.outcome_ == ExchangeOutcome::Answered) {
+    flow_.quarantine_.Completed(fingerprint_, now);
+  } else if (signal == InstanceSignal::ConnectionLost) {
+    flow_.quarantine_.Died(fingerprint_, id, now);
+    flow_.connections_.CloseIdle(aInstance);
+  }
+  if (signal == InstanceSignal::Unreachable ||
+      signal == InstanceSignal::Success) {
+    flow_.quarantine_.ServerChecked(
+      id, signal == InstanceSignal::Success, now, now);
+  }
+  flow_.quarantine_.Ended(fingerprint_);
+}
+
+void
+RequestFlow::OnExchange(const InstancePtr& aInstance,
+                        ServerExchangeResult aResult)
+{
+  exchange_.reset();
+  Learn(aInstance, aResult);
+  const bool notRun = aResult.outcome_ == ExchangeOutcome::NotRun;
+  mayHaveRun_ = mayHaveRun_ || !notRun;
+  if (aResult.outcome_ != ExchangeOutcome::Answered) {
+    LogEvent(Event::AttemptFailed,
+             { { "request", requestId_ },
+               { "server", aInstance->Record().id_ },
+               { "outcome", NameOf(aResult.outcome_) },
+               { "reason", aResult.reason_ },
+               { "attempt", attempts_ } });
+  }
+  if (MayTryAgain(aResult)) {
+    flow_.metrics_.retries_.Add(1);
+    Attempt();
+    return;
+  }
+  if (aResult.outcome_ == ExchangeOutcome::Answered) {
+    Deliver(std::move(aResult.answer_));
+  } else {
+    FailAfter(aResult);
+  }
+}
+
+bool
+RequestFlow::MayTryAgain(const ServerExchangeResult& aResult)
+{
+  const bool failed = aResult.outcome_ != ExchangeOutcome::Answered ||
+                      aResult.answer_.status_ / 100 == 5;
+  const bool repeatable = aResult.outcome_ == ExchangeOutcome::NotRun ||
+                          route_->kind_ == RequestKind::Safe;
+  if (!failed || !repeatable || attempts_ >= route_->maxAttempts_ ||
+      TimeLeft() < flow_.options_.leastTimeLeft_) {
+    return false;
+  }
+  if (flow_.quarantine_.Check(fingerprint_, BootClock::now()) ==
+      QuarantineVerdict::Refuse) {
+    return false;
+  }
+  // An attempt that never reached a server is no repeat there.
+  return aResult.unreachable_ ||
+         flow_.retries_.TryTake(service_, BootClock::now());
+}
+
+void
+RequestFlow::FailAfter(const ServerExchangeResult& aResult)
+{
+  if (mayHaveRun_) {
+    Refuse(502, std::string(NameOf(aResult.outcome_)), Duration::zero());
+  } else {
+    Refuse(503, "not-run", flow_.options_.retryAfter_);
+  }
+}
+
+void
+RequestFlow::Deliver(ServerAnswer aAnswer)
+{
+  CallerAnswer answer;
+  answer.status_ = aAnswer.status_;
+  // These statuses promise that the request was not run; this one was.
+  const bool promises =
+    aAnswer.status_ == 429 || aAnswer.status_ == 503 || aAnswer.status_ == 408;
+  if (promises) {
+    Refuse(502, "false-promise-of-the-server", Duration::zero());
+    return;
+  }
+  for (HttpHeader& header : aAnswer.headers_) {
+    if (!IsHopHeader(header.name_) &&
+        !IsNamedByConnection(aAnswer.headers_, header.name_)) {
+      answer.headers_.push_back(header);
+    }
+  }
+  answer.body_ = std::move(aAnswer.body_);
+  Finish(std::move(answer), "");
+}
+
+void
+RequestFlow::OnTimeout()
+{
+  if (finished_) {
+    return;
+  }
+  const bool sent = exchange_ && exchange_->Sent();
+  if (mayHaveRun_ || sent) {
+    Refuse(504, "timeout", Duration::zero());
+  } else {
+    Refuse(503, "timeout-before-sending", flow_.options_.retryAfter_);
+  }
+}
+
+void
+RequestFlow::OnCallerGone()
+{
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  timer_.cancel();
+  flow_.metrics_.abandoned_.Add(1);
+  LogEvent(Event::CallerLeft, { { "request", requestId_ } });
+  if (exchange_) {
+    exchange_->Cancel();
+    flow_.quarantine_.Ended(fingerprint_);
+  }
+}
+
+void
+RequestFlow::Refuse(int aStatus,
+                    const std::string& aReason,
+                    Duration aRetryAfter)
+{
+  CallerAnswer answer;
+  answer.status_ = aStatus;
+  if (!requestId_.empty()) {
+    answer.headers_.push_back(
+      { flow_.options_.headers_.requestId_, requestId_ });
+  }
+  if (aRetryAfter > Duration::zero()) {
+    Duration wait = aRetryAfter;
+    if (deadline_ != TimePoint()) {
+      wait =
+        std::min(wait, FromSeconds(ToSeconds(TimeLeft()) * kRetryAfterPart));
+    }
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f", ToSeconds(wait));
+    answer.headers_.push_back({ "Retry-After", text });
+  }
+  Finish(std::move(answer), aReason);
+}
+
+void
+RequestFlow::Finish(CallerAnswer aAnswer, const std::string& aReason)
+{
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  timer_.cancel();
+  if (exchange_) {
+    exchange_->Cancel();
+    flow_.quarantine_.Ended(fingerprint_);
+    exchange_.reset();
+  }
+  const Duration elapsed = BootClock::now() - caller_->Request().arrivedAt_;
+  flow_.metrics_.latency_.Observe(elapsed);
+  flow_.metrics_.all_
+    .Counter("peridotsail_answers_total",
+             "Answers by status.",
+             "status=\"" + std::to_string(aAnswer.status_) + "\"")
+    .Add(1);
+  LogEvent(aReason.empty() ? Event::RequestFinished : Event::RequestRefused,
+           { { "request", requestId_ },
+             { "status", aAnswer.status_ },
+             { "reason", aReason },
+             { "customer", customer_ == nullptr ? "" : customer_->name_ },
+             { "attempts", attempts_ },
+             { "elapsed_ms", Milliseconds(elapsed) } });
+  caller_->Answer(std::move(aAnswer));
+}
+
+}
--- /dev/null
+++ b/src/gateway/RoutingTable.cc
@@ -0,0 +1,115 @@
+#include "gateway/RoutingTable.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace peridotsail {
+
+namespace {
+
+struct KindName
+{
+  RequestKind kind_;
+  std::string_view name_;
+};
+
+constexpr std::array<KindName, 3> kKindNames{ {
+  { RequestKind::Safe, "safe" },
+  { RequestKind::Unsafe, "unsafe" },
+  { RequestKind::Upload, "upload" },
+} };
+
+std::string
+ToLower(std::string_view aText)
+{
+  std::string lower(aText);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aByte) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(aByte)));
+  });
+  return lower;
+}
+
+bool
+StartsWith(std::string_view aText, std::string_view aPrefix)
+{
+  return aText.substr(0, aPrefix.size()) == aPrefix;
+}
+
+}
+
+std::string_view
+NameOf(RequestKind aKind)
+{
+  for (const KindName& row : kKindNames) {
+    if (row.kind_ == aKind) {
+      return row.name_;
+    }
+  }
+  return "unsafe";
+}
+
+std::optional<RequestKind>
+RequestKindFromName(std::string_view aName)
+{
+  for (const KindName& row : kKindNames) {
+    if (row.name_ == aName) {
+      return row.kind_;
+    }
+  }
+  return std::nullopt;
+}
+
+RoutingTable::RoutingTable(RoutingTableParts aParts)
+  : parts_(std::move(aParts))
+{
+  for (auto& [host, routes] : parts_.routes_) {
+    // Longest prefix first, so that the first match is the right one.
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [](const GatewayRoute& aLeft, const GatewayRoute& aRight) {
+                       return aLeft.prefix_.size() > aRight.prefix_.size();
+                     });
+  }
+  for (std::size_t i = 0; i < parts_.customers_.size(); ++i) {
+    for (const std::string& key : parts_.customers_[i].keys_) {
+      customerOfKey_[key] = i;
+    }
+  }
+}
+
+const GatewayRoute*
+RoutingTable::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  const auto found = parts_.routes_.find(ToLower(aHost));
+  if (found == parts_.routes_.end()) {
+    return nullptr;
+  }
+  for (const GatewayRoute& route : found->second) {
+    if (StartsWith(aPath, route.prefix_)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+const GatewayService*
+RoutingTable::FindService(const std::string& aName) const
+{
+  for (const GatewayService& service : parts_.services_) {
+    if (service.name_ == aName) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+const GatewayCustomer*
+RoutingTable::FindCustomer(const std::string& aKey) const
+{
+  const auto found = customerOfKey_.find(aKey);
+  return found == customerOfKey_.end() ? nullptr
+                                       : &parts_.customers_[found->second];
+}
+
+}
--- a/src/platform/HostListClient.cc
+++ b/src/store/HostListClient.cc
@@ -1,4 +1,4 @@
-#include "platform/HostListClient.h"
+#include "store/HostListClient.h"
 
 #include <algorithm>
 #include <map>
--- a/src/platform/StoreClient.cc
+++ b/src/store/StoreClient.cc
@@ -1,7 +1,7 @@
-#include "platform/StoreClient.h"
+#include "store/StoreClient.h"
 
 #include "base/EventLog.h"
-#include "platform/StoreJson.h"
+#include "store/StoreJson.h"
 
 namespace peridotsail {
 
--- a/src/platform/StoreJson.cc
+++ b/src/store/StoreJson.cc
@@ -1,4 +1,4 @@
-#include "platform/StoreJson.h"
+#include "store/StoreJson.h"
 
 #include <boost/beast/core/detail/base64.hpp>
 #include <charconv>
--- a/src/platform/StoreJson.h
+++ b/src/store/StoreJson.h
@@ -3,7 +3,7 @@
 // Conversions between store messages and the JSON of the etcd v3 API, where
 // keys and values are in base64 and 64-bit numbers are texts.
 
-#include "platform/StoreClient.h"
+#include "store/StoreClient.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
--- a/src/platform/testing/StoreClientTest.cc
+++ b/src/store/testing/StoreClientTest.cc
@@ -1,7 +1,7 @@
-#include "platform/StoreClient.h"
+#include "store/StoreClient.h"
 #include "http/HttpServer.h"
-#include "platform/HostListClient.h"
-#include "platform/StoreJson.h"
+#include "store/HostListClient.h"
+#include "store/StoreJson.h"
 #include "testing/FakeStore.h"
 
 #include <catch2/catch.hpp>
--- a/src/testing/FakeStore.cc
+++ b/src/testing/FakeStore.cc
@@ -1,6 +1,6 @@
 #include "testing/FakeStore.h"
 
-#include "platform/StoreJson.h"
+#include "store/StoreJson.h"
 
 namespace peridotsail {
 
