Share allowances by demand only near the rate, weigh remote slots an eighth

Cause: shares that follow a few requests of demand swing from second to second, and the lowest share of two seconds counts; callers far below their rate got 429. Another region's slot at a fifth sent more work across regions than it saved. Change: each host counts with an assumed demand of 0.35 of an equal share.

--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -56,6 +56,7 @@
   AttemptFailed = 5006,
   CallerLeft = 5007,
   RequestMalformed = 5008,
+  AllowanceUsedUp = 5009,
   // 7000: at-most-once execution
   ClaimsLoaded = 7001,
   ClaimRecordMalformed = 7002,
--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -18,6 +18,7 @@
 
 double
 CustomerAllowances::TargetShare(const std::string& aCustomer,
+                                double aRate,
                                 const std::map<std::string, HostRecord>& aHosts,
                                 const std::string& aSelf) const
 {
@@ -34,10 +35,8 @@
       own = demand;
     }
   }
-  if (all < kLeastDemand) {
-    return 1 / hosts;
-  }
-  return (1 - options_.byDemand_) / hosts + options_.byDemand_ * own / all;
+  const double assumed = std::max(kLeastDemand, options_.assumedDemand_ * aRate / hosts);
+  return (own + assumed) / (all + hosts * assumed);
 }
 
 void
@@ -51,7 +50,8 @@
     Account& account = it->second;
     account.rate_ = customer.ratePerSecond_;
     account.burst_ = customer.burst_;
-    const double target = TargetShare(customer.name_, aHosts, aSelf);
+    const double target = TargetShare(
+      customer.name_, customer.ratePerSecond_, aHosts, aSelf);
     if (added || target != account.targets_.back().second) {
       account.targets_.emplace_back(aNow, target);
     }
@@ -95,7 +95,7 @@
   if (account.bucket_.TryTake(1, aNow)) {
     return {};
   }
-  return { false, account.bucket_.WaitFor(1) };
+  return { false, account.bucket_.WaitFor(1), account.bucket_.Rate() };
 }
 
 std::map<std::string, double>
--- a/src/gateway/CustomerAllowances.h
+++ b/src/gateway/CustomerAllowances.h
@@ -29,9 +29,10 @@
   // the control loop's pause and the longest answer of a store that counts as
   // reachable.
   Duration raiseDelay_ = std::chrono::milliseconds(2000);
-  // The part of the rate that is shared by demand; the rest is shared equally,
-  // so that a host without recent demand can admit the first requests.
-  double byDemand_ = 0.8;
+  // Demand that each host is assumed to have besides its measured one, as a
+  // part of an equal share of the rate. Far below the rate, shares are nearly
+  // equal and do not follow noise; near it they follow demand.
+  double assumedDemand_ = 0.35;
   // The tokens of a new bucket, as time of its rate. A restarted host may have
   // spent its burst in its last lifetime.
   Duration firstTokens_ = std::chrono::milliseconds(250);
@@ -44,6 +45,8 @@
   bool admitted_ = true;
   // When not admitted: until the next token.
   Duration retryAfter_{};
+  // This host's tokens a second, for the log.
+  double rate_ = 0;
 };
 
 class CustomerAllowances
@@ -80,6 +83,7 @@
   };
 
   double TargetShare(const std::string& aCustomer,
+                     double aRate,
                      const std::map<std::string, HostRecord>& aHosts,
                      const std::string& aSelf) const;
   void UseShare(Account& aAccount, TimePoint aNow);
--- a/src/gateway/InstanceChooser.h
+++ b/src/gateway/InstanceChooser.h
@@ -26,7 +26,7 @@
 struct ChooserOptions
 {
   // The weight of a slot in another region against one in the own region.
-  double remoteWeight_ = 0.2;
+  double remoteWeight_ = 0.125;
   // Waiting requests that a server reports beyond which it is passed over.
   int mostWaiting_ = 7;
   // Requests of this host at the server beyond its slots.
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -254,6 +254,13 @@
   const Admission admission =
     flow_.allowances_.TryTake(*customer_, BootClock::now());
   if (!admission.admitted_) {
+    LogEvent(Event::AllowanceUsedUp,
+             { { "request", requestId_ },
+               { "customer", customer_->name_ },
+               { "customer_rate", customer_->ratePerSecond_ },
+               { "customer_burst", customer_->burst_ },
+               { "host_rate", admission.rate_ },
+               { "version", table_->Version() } });
     Refuse(429, "allowance-used-up", admission.retryAfter_);
   }
   return admission.admitted_;
