--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -60,6 +60,7 @@
   void OnStoreFailed(KvStatus aStatus);
   void OnStoreAnswered();
 
+  void ApplyEvents(const std::vector<KvItem>& aItems);
   void Apply(const KvItem& aItem);
   void ApplyConfiguration(const KvItem& aItem);
   void ApplyInstance(const std::string& aId, const KvItem& aItem);
@@ -83,6 +84,8 @@
   ControlHooks hooks_;
 
   FleetSnapshot view_;
+  FleetSnapshotPtr snapshot_;
+  TimePoint confirmedAt_ = TimePoint::min();
   bool changed_ = false;
   // The revision up to which changes were read.
   std::uint64_t revision_ = 0;
@@ -240,7 +243,7 @@
     it = there ? std::next(it) : view_.evacuated_.erase(it);
   }
   revision_ = firstRevision_;
-  hooks_.onConfirmed_(readBegun_);
+  confirmedAt_ = readBegun_;
   Publish();
   Watch();
 }
@@ -282,11 +285,9 @@
     ReadAll();
     return;
   }
-  for (const KvItem& item : aItems.items_) {
-    Apply(item);
-  }
+  ApplyEvents(aItems.items_);
   revision_ = std::max(revision_, aItems.revision_);
-  hooks_.onConfirmed_(aSentAt);
+  confirmedAt_ = aSentAt;
   Publish();
   const Duration spent = BootClock::now() - aSentAt;
   if (spent >= options_.watchPause_) {
@@ -296,6 +297,26 @@
   }
 }
 
+// Of several configurations that arrived together only the last one is read.
+void
+ControlLoop::Impl::ApplyEvents(const std::vector<KvItem>& aItems)
+{
+  const KvItem* configuration = nullptr;
+  for (const KvItem& item : aItems) {
+    if (codec_.classify_(item.key_).kind_ == Kind::Configuration) {
+      configuration = &item;
+    }
+  }
+  for (const KvItem& item : aItems) {
+    const bool superseded = configuration != nullptr &&
+                            item.key_ == configuration->key_ &&
+                            &item != configuration;
+    if (!superseded) {
+      Apply(item);
+    }
+  }
+}
+
 void
 ControlLoop::Impl::Apply(const KvItem& aItem)
 {
@@ -447,12 +468,12 @@
 void
 ControlLoop::Impl::Publish()
 {
-  if (!changed_) {
-    return;
+  if (changed_ || !snapshot_) {
+    changed_ = false;
+    view_.registered_ = view_.hosts_.count(options_.name_) > 0;
+    snapshot_ = std::make_shared<const FleetSnapshot>(view_);
   }
-  changed_ = false;
-  view_.registered_ = view_.hosts_.count(options_.name_) > 0;
-  hooks_.onSnapshot_(std::make_shared<const FleetSnapshot>(view_));
+  hooks_.onView_(snapshot_, confirmedAt_);
 }
 
 // Renews the lease, or takes a new one, and writes this host's registration
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -79,10 +79,10 @@
 
 struct ControlHooks
 {
-  // The view changed.
-  std::function<void(FleetSnapshotPtr)> onSnapshot_;
-  // At aSince the view was the store's, as far as this host could know.
-  std::function<void(TimePoint aSince)> onConfirmed_;
+  // The view as it is now, and when it was last known to be the store's. The
+  // same snapshot comes again when only the time is new. Both come together, so
+  // that the time never vouches for a snapshot that is still on its way.
+  std::function<void(FleetSnapshotPtr, TimePoint aConfirmedAt)> onView_;
 };
 
 class ControlLoop
--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -35,7 +35,8 @@
       own = demand;
     }
   }
-  const double assumed = std::max(kLeastDemand, options_.assumedDemand_ * aRate / hosts);
+  const double assumed =
+    std::max(kLeastDemand, options_.assumedDemand_ * aRate / hosts);
   return (own + assumed) / (all + hosts * assumed);
 }
 
@@ -50,8 +51,8 @@
     Account& account = it->second;
     account.rate_ = customer.ratePerSecond_;
     account.burst_ = customer.burst_;
-    const double target = TargetShare(
-      customer.name_, customer.ratePerSecond_, aHosts, aSelf);
+    const double target =
+      TargetShare(customer.name_, customer.ratePerSecond_, aHosts, aSelf);
     if (added || target != account.targets_.back().second) {
       account.targets_.emplace_back(aNow, target);
     }
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -89,8 +89,6 @@
   GatewayAdapter adapter_;
   Metrics metrics_;
   MetricGauge& droppedLines_;
-  // The time at which the view of the store was last known to be current.
-  std::atomic<TimePoint> confirmedAt_{ TimePoint::min() };
   std::atomic<bool> draining_{ false };
   DutyThread traffic_;
   DutyThread control_;
@@ -104,6 +102,8 @@
   HttpServer metricsServer_;
   asio::steady_timer tick_;
   FleetSnapshotPtr snapshot_;
+  // When the snapshot was last known to be the store's view.
+  TimePoint confirmedAt_ = TimePoint::min();
   HostRecord self_;
   HostRecord published_;
 
@@ -190,9 +190,8 @@
 bool
 Gateway::Impl::KeysAreFresh(TimePoint aNow) const
 {
-  const TimePoint confirmed = confirmedAt_.load();
-  return confirmed != TimePoint::min() &&
-         ToSeconds(aNow - confirmed) <
+  return confirmedAt_ != TimePoint::min() &&
+         ToSeconds(aNow - confirmedAt_) <
            kFreshPart * ToSeconds(settings_.bounds_.keyWithdrawal_);
 }
 
@@ -218,14 +217,19 @@
 Gateway::Impl::MakeControlHooks()
 {
   ControlHooks hooks;
-  hooks.onSnapshot_ = [this](FleetSnapshotPtr aSnapshot) {
-    const bool posted = traffic_.Post(
-      [this, snapshot = std::move(aSnapshot)] { OnSnapshot(snapshot); });
+  // A message that is lost to a full ring is made good by the next one.
+  hooks.onView_ = [this](FleetSnapshotPtr aSnapshot, TimePoint aConfirmedAt) {
+    const bool posted =
+      traffic_.Post([this, snapshot = std::move(aSnapshot), aConfirmedAt] {
+        if (snapshot != snapshot_) {
+          OnSnapshot(snapshot);
+        }
+        confirmedAt_ = aConfirmedAt;
+      });
     if (!posted) {
       LogEvent(Event::RingFull, { { "ring", "traffic" } });
     }
   };
-  hooks.onConfirmed_ = [this](TimePoint aSince) { confirmedAt_.store(aSince); };
   return hooks;
 }
 
