Refuse requests whose server is full in place of moving their object

Change: a request whose object's server cannot answer in time is refused at once with the time at which it would fit.

--- a/src/gateway/InstanceChooser.cc
+++ b/src/gateway/InstanceChooser.cc
@@ -101,18 +101,13 @@
   const Duration limit =
     FromSeconds(ToSeconds(aQuery.timeLeft_) * aOptions.timePart_);
   Choice choice;
-  bool firstIsFull = false;
   for (const Scored& scored : ranked) {
     const InstancePtr& instance = *scored.instance_;
     const QueueEstimate& queue = instance->queue_;
-    const bool takes =
-      firstIsFull ? queue.HasFreeSlot(aNow) : queue.Expected(aNow) <= limit;
-    if (!takes && !queue.HasFreeSlot(aNow)) {
-      if (!firstIsFull) {
-        firstIsFull = true;
-        choice.wait_ = queue.Expected(aNow) - limit;
-      }
-      continue;
+    const bool takes = queue.Expected(aNow) <= limit || queue.HasFreeSlot(aNow);
+    if (!takes) {
+      choice.wait_ = queue.Expected(aNow) - limit;
+      return choice;
     }
     if (instance->IsCold(aNow) && !aQuery.admitCold_(*instance)) {
       continue;
--- a/src/gateway/InstanceChooser.h
+++ b/src/gateway/InstanceChooser.h
@@ -5,12 +5,12 @@
 // Requests for one object go to the same server from all hosts of a region
 // without talk between them (weighted rendezvous hashing over the servers),
 // because a server that handled the object recently needs a third of the time.
-// Servers of other regions have a lower weight. An object leaves its first
-// server only when the queue there is too long for the time left, and then only
-// for a server with a free slot: a move runs the object cold at the next
-// server, which costs more than a wait for several warm runs. When no server
-// has one, the request is refused: a queue beyond the time limit would only run
-// requests that are given up before their end.
+// Servers of other regions have a lower weight. An object stays with its first
+// usable server: elsewhere it would run cold, take three times as long and push
+// other objects off their servers. When the queue there is too long for the
+// time left, the request is refused, with the time at which it would fit: a
+// queue beyond the time limit only runs requests that are given up before their
+// end.
 //
 //   ChoiceQuery query;
 //   query.objectHash_ = HashOf(route, object);
