--- a/src/gateway/CallerListener.cc
+++ b/src/gateway/CallerListener.cc
@@ -14,8 +14,7 @@
 CallerListener::CallerListener(asio::io_context& aContext,
                                CallerHooks aHooks,
                                std::size_t aMostConnections)
-  : context_(aContext)
-  , hooks_(std::move(aHooks))
+  : hooks_(std::move(aHooks))
   , mostConnections_(aMostConnections)
   , acceptor_(aContext)
   , timer_(aContext)
--- a/src/gateway/CallerListener.h
+++ b/src/gateway/CallerListener.h
@@ -32,7 +32,6 @@
   void Accept();
   void CheckTimeouts();
 
-  asio::io_context& context_;
   CallerHooks hooks_;
   std::size_t mostConnections_;
   tcp::acceptor acceptor_;
--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -29,7 +29,9 @@
   double own = 0;
   for (const auto& [name, host] : aHosts) {
     const auto found = host.demand_.find(aCustomer);
-    const double demand = found == host.demand_.end() ? 0 : found->second;
+    // Demand above the whole rate cannot be met and must not starve the others.
+    const double demand =
+      found == host.demand_.end() ? 0 : std::min(found->second, aRate);
     all += demand;
     if (name == aSelf) {
       own = demand;
@@ -37,7 +39,8 @@
   }
   const double assumed =
     std::max(kLeastDemand, options_.assumedDemand_ * aRate / hosts);
-  return (own + assumed) / (all + hosts * assumed);
+  const double byDemand = (own + assumed) / (all + hosts * assumed);
+  return options_.equalPart_ / hosts + (1 - options_.equalPart_) * byDemand;
 }
 
 void
--- a/src/gateway/CustomerAllowances.h
+++ b/src/gateway/CustomerAllowances.h
@@ -33,6 +33,9 @@
   // part of an equal share of the rate. Far below the rate, shares are nearly
   // equal and do not follow noise; near it they follow demand.
   double assumedDemand_ = 0.35;
+  // The part of the rate that is shared equally whatever the demand, so that
+  // callers who move are not without any share until the others have read it.
+  double equalPart_ = 0.2;
   // The tokens of a new bucket, as time of its rate. A restarted host may have
   // spent its burst in its last lifetime.
   Duration firstTokens_ = std::chrono::milliseconds(250);
--- /dev/null
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -0,0 +1,423 @@
+#include "gateway/ColdStartLimit.h"
+#include "gateway/CustomerAllowances.h"
+#include "gateway/FleetRetryBudget.h"
+#include "gateway/HostOrder.h"
+#include "gateway/InstanceChooser.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace peridotsail;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+
+TimePoint
+At(double aSeconds)
+{
+  return TimePoint() + FromSeconds(aSeconds + 1000);
+}
+
+InstanceRecord
+MakeRecord(const std::string& aId, const std::string& aDomain)
+{
+  InstanceRecord record;
+  record.id_ = aId;
+  record.service_ = "s";
+  record.failureDomain_ = aDomain;
+  record.slots_ = 3;
+  return record;
+}
+
+const std::map<std::string, std::string> kRegions{ { "a", "here" },
+                                                   { "b", "here" },
+                                                   { "c", "there" } };
+
+FleetSnapshot
+MakeFleet()
+{
+  FleetSnapshot snapshot;
+  for (int i = 0; i < 4; ++i) {
+    const std::string number = std::to_string(i);
+    snapshot.instances_["a" + number] = MakeRecord("a" + number, "a");
+    snapshot.instances_["c" + number] = MakeRecord("c" + number, "c");
+  }
+  return snapshot;
+}
+
+ChoiceQuery
+MakeQuery(std::uint64_t aObject)
+{
+  ChoiceQuery query;
+  query.hasObject_ = true;
+  query.objectHash_ = aObject;
+  query.region_ = "here";
+  query.timeLeft_ = std::chrono::seconds(1);
+  query.admitCold_ = [](const Instance&) { return true; };
+  return query;
+}
+
+RoutingTablePtr
+MakeTable(double aRate, double aBurst)
+{
+  RoutingTableParts parts;
+  GatewayCustomer customer;
+  customer.name_ = "school";
+  customer.ratePerSecond_ = aRate;
+  customer.burst_ = aBurst;
+  parts.customers_.push_back(customer);
+  return std::make_shared<const RoutingTable>(parts);
+}
+
+}
+
+// Guards against objects that change their server because an unrelated server
+// came or went: each change runs them cold.
+TEST_CASE("A server's loss moves only the objects that it had")
+{
+  InstanceTable table(kRegions, "here");
+  FleetSnapshot snapshot = MakeFleet();
+  table.Apply(snapshot);
+  std::map<std::uint64_t, std::string> before;
+  for (std::uint64_t object = 0; object < 500; ++object) {
+    before[object] =
+      ChooseInstance(table.OfService("s"), MakeQuery(object), At(0), {})
+        .instance_->Record()
+        .id_;
+  }
+  snapshot.instances_.erase("a1");
+  table.Apply(snapshot);
+  int moved = 0;
+  for (const auto& [object, id] : before) {
+    const std::string now =
+      ChooseInstance(table.OfService("s"), MakeQuery(object), At(0), {})
+        .instance_->Record()
+        .id_;
+    CHECK((now == id || id == "a1"));
+    moved += now == id ? 0 : 1;
+  }
+  CHECK(moved > 0);
+}
+
+// Guards against requests at servers that must not get them.
+TEST_CASE("Servers that are leaving, evacuated, paused or away from home are "
+          "not chosen")
+{
+  struct Row
+  {
+    const char* name_;
+    std::function<void(FleetSnapshot&, ChoiceQuery&)> change_;
+    bool chosen_;
+  };
+  const Row rows[] = {
+    { "ready", [](FleetSnapshot&, ChoiceQuery&) {}, true },
+    { "draining",
+      [](FleetSnapshot& aFleet, ChoiceQuery&) {
+        aFleet.instances_["a0"].draining_ = true;
+      },
+      false },
+    { "evacuated",
+      [](FleetSnapshot& aFleet, ChoiceQuery&) {
+        aFleet.evacuated_.insert("a");
+      },
+      false },
+    { "tried",
+      [](FleetSnapshot&, ChoiceQuery& aQuery) { aQuery.tried_.insert("a0"); },
+      false },
+    { "home elsewhere",
+      [](FleetSnapshot&, ChoiceQuery& aQuery) {
+        aQuery.homeRegions_ = { "there" };
+      },
+      false },
+    { "at home",
+      [](FleetSnapshot&, ChoiceQuery& aQuery) {
+        aQuery.homeRegions_ = { "here" };
+      },
+      true },
+    { "unknown failure domain",
+      [](FleetSnapshot& aFleet, ChoiceQuery&) {
+        aFleet.instances_["a0"].failureDomain_ = "x";
+      },
+      false },
+    { "cold, and its limit is reached",
+      [](FleetSnapshot& aFleet, ChoiceQuery& aQuery) {
+        aFleet.instances_["a0"].coldLeft_ = std::chrono::seconds(5);
+        aFleet.readAt_["a0"] = At(0);
+        aQuery.admitCold_ = [](const Instance&) { return false; };
+      },
+      false },
+  };
+  for (const Row& row : rows) {
+    INFO(row.name_);
+    FleetSnapshot snapshot;
+    snapshot.instances_["a0"] = MakeRecord("a0", "a");
+    ChoiceQuery query = MakeQuery(1);
+    row.change_(snapshot, query);
+    InstanceTable table(kRegions, "here");
+    table.Apply(snapshot);
+    const Choice choice =
+      ChooseInstance(table.OfService("s"), query, At(1), {});
+    CHECK((choice.instance_ != nullptr) == row.chosen_);
+  }
+}
+
+// Guards against a new lifetime under an old id that inherits its health.
+TEST_CASE("A server that starts again under its id is a new server")
+{
+  InstanceTable table(kRegions, "here");
+  FleetSnapshot snapshot;
+  snapshot.instances_["a0"] = MakeRecord("a0", "a");
+  table.Apply(snapshot);
+  const InstancePtr old = table.OfService("s").front();
+  old->Signal(InstanceSignal::Unreachable, At(0), {});
+  CHECK(old->IsPaused(At(0.1)));
+  snapshot.instances_["a0"].born_ = 5;
+  table.Apply(snapshot);
+  CHECK(table.OfService("s").front()->IsUsable(At(0.1)));
+  CHECK_FALSE(old->IsUsable(At(100)));
+}
+
+// Guards against more than the bound in any second, over all hosts together.
+TEST_CASE("Hosts together stay below a cold server's limit")
+{
+  constexpr double kPerSecond = 5.2;
+  const ColdStartOptions options;
+  for (const std::size_t hosts : { 1, 2, 3, 6 }) {
+    INFO("hosts " << hosts);
+    std::vector<ColdStartLimit> limits(hosts, ColdStartLimit(options));
+    std::mt19937_64 random(kSeed);
+    std::uniform_int_distribution<std::size_t> anyHost(0, hosts - 1);
+    std::vector<double> sent;
+    for (double now = 0; now < 10; now += 0.003) {
+      if (limits[anyHost(random)].TryTake("i", kPerSecond, hosts, At(now))) {
+        sent.push_back(now);
+      }
+    }
+    CHECK_FALSE(sent.empty());
+    const double bound = kPerSecond * options.overage_ + options.slack_;
+    for (const double begin : sent) {
+      int count = 0;
+      for (const double other : sent) {
+        count += other >= begin && other < begin + 1 ? 1 : 0;
+      }
+      REQUIRE(count <= bound);
+    }
+  }
+}
+
+// Guards against retries that amplify a failure, over all hosts together.
+TEST_CASE("Hosts together stay below the bound of retries in any window")
+{
+  constexpr int kHosts = 7;
+  constexpr double kWindow = 10;
+  const FleetRetryBudgetOptions options;
+  std::vector<FleetRetryBudget> budgets(kHosts, FleetRetryBudget(options));
+  CHECK_FALSE(budgets[0].TryTake("s", At(0)));
+  std::vector<double> requests;
+  std::vector<double> retries;
+  std::mt19937_64 random(kSeed);
+  std::uniform_int_distribution<int> anyHost(0, kHosts - 1);
+  for (FleetRetryBudget& budget : budgets) {
+    budget.SetHosts(kHosts);
+  }
+  // Every request fails, and each failure asks for a retry.
+  for (double now = 0; now < 40; now += 0.005) {
+    FleetRetryBudget& budget = budgets[anyHost(random)];
+    const bool quiet = now > 15 && now < 25;
+    if (!quiet) {
+      budget.RecordRequest("s", At(now));
+      requests.push_back(now);
+    }
+    if (budget.TryTake("s", At(now))) {
+      retries.push_back(now);
+    }
+  }
+  const auto count = [](const std::vector<double>& aTimes, double aBegin) {
+    return std::count_if(aTimes.begin(), aTimes.end(), [&](double aTime) {
+      return aTime >= aBegin && aTime < aBegin + kWindow;
+    });
+  };
+  for (double begin = 0; begin < 30; begin += 0.25) {
+    // The bound takes the busiest of three neighbouring windows.
+    const auto asked = std::max({ count(requests, begin),
+                                  count(requests, begin - kWindow),
+                                  count(requests, begin - kWindow / 2) });
+    INFO("window from " << begin << " seed " << kSeed);
+    REQUIRE(static_cast<double>(count(retries, begin)) <=
+            options.ratio_ * static_cast<double>(asked) + options.slack_);
+  }
+}
+
+namespace {
+
+// Hosts that publish their demand each second and read that of the others a
+// moment later.
+struct AllowanceFleet
+{
+  explicit AllowanceFleet(int aHosts)
+  {
+    for (int i = 0; i < aHosts; ++i) {
+      Join();
+    }
+  }
+
+  void Join()
+  {
+    const std::string name = "h" + std::to_string(allowances_.size());
+    allowances_.emplace_back(AllowanceOptions());
+    records_[name] = HostRecord();
+  }
+
+  void Step(const RoutingTable& aTable, double aNow, bool aPublish)
+  {
+    if (aPublish) {
+      for (std::size_t i = 0; i < allowances_.size(); ++i) {
+        records_["h" + std::to_string(i)].demand_ =
+          allowances_[i].MeasureDemand(At(aNow));
+      }
+    }
+    for (std::size_t i = 0; i < allowances_.size(); ++i) {
+      allowances_[i].Apply(aTable, records_, "h" + std::to_string(i), At(aNow));
+    }
+  }
+
+  std::vector<CustomerAllowances> allowances_;
+  std::map<std::string, HostRecord> records_;
+};
+
+}
+
+// Guards against a customer that gets more than its rate and burst when its
+// callers move between hosts, when a host restarts and when hosts are added.
+TEST_CASE("No window has more than rate and burst over all hosts")
+{
+  struct Row
+  {
+    const char* name_;
+    // The host that gets a request at a time.
+    std::function<std::size_t(double, std::size_t, std::mt19937_64&)> host_;
+    bool restarts_;
+    bool joins_;
+  };
+  const auto spread = [](double, std::size_t aHosts, std::mt19937_64& aRandom) {
+    return std::uniform_int_distribution<std::size_t>(0, aHosts - 1)(aRandom);
+  };
+  const Row rows[] = {
+    { "spread", spread, false, false },
+    { "one host",
+      [](double, std::size_t, std::mt19937_64&) { return std::size_t{ 0 }; },
+      false,
+      false },
+    // All callers move to another region's hosts, as when a school opens.
+    { "moving between regions",
+      [](double aNow, std::size_t, std::mt19937_64& aRandom) {
+        constexpr double kStay = 7;
+        const std::size_t region = static_cast<std::size_t>(aNow / kStay) % 3;
+        const std::size_t first = region == 0 ? 0 : 1 + 2 * region;
+        const std::size_t last = region == 0 ? 2 : first + 1;
+        return std::uniform_int_distribution<std::size_t>(first, last)(aRandom);
+      },
+      false,
+      false },
+    { "restarts", spread, true, false },
+    { "hosts are added", spread, false, true },
+  };
+  constexpr double kRate = 40;
+  constexpr double kBurst = 40;
+  constexpr double kWindow = 5;
+  const RoutingTablePtr table = MakeTable(kRate, kBurst);
+  const GatewayCustomer& customer = table->Customers().front();
+  for (const Row& row : rows) {
+    INFO(row.name_ << " seed " << kSeed);
+    std::mt19937_64 random(kSeed);
+    AllowanceFleet fleet(7);
+    std::vector<double> admitted;
+    int step = 0;
+    for (double now = 0; now < 40; now += 0.002, ++step) {
+      if (step % 100 == 0) {
+        fleet.Step(*table, now, step % 500 == 0);
+      }
+      if (row.restarts_ && step % 2500 == 2000) {
+        for (CustomerAllowances& one : fleet.allowances_) {
+          one = CustomerAllowances(AllowanceOptions());
+        }
+        fleet.Step(*table, now, false);
+      }
+      if (row.joins_ && step == 10000) {
+        for (int i = 0; i < 3; ++i) {
+          fleet.Join();
+        }
+        fleet.Step(*table, now, false);
+      }
+      const std::size_t host = row.host_(now, fleet.allowances_.size(), random);
+      if (fleet.allowances_[host].TryTake(customer, At(now)).admitted_) {
+        admitted.push_back(now);
+      }
+    }
+    CHECK(static_cast<double>(admitted.size()) > kRate * 40 / 4);
+    const double bound = (kRate * kWindow + kBurst) * 1.1 + 20;
+    std::size_t end = 0;
+    for (std::size_t begin = 0; begin < admitted.size(); ++begin) {
+      while (end < admitted.size() &&
+             admitted[end] < admitted[begin] + kWindow) {
+        ++end;
+      }
+      REQUIRE(static_cast<double>(end - begin) <= bound);
+    }
+  }
+}
+
+// Guards against refusals below the rate while callers are spread.
+TEST_CASE("At four fifths of the rate nearly nothing is refused")
+{
+  const RoutingTablePtr table = MakeTable(140, 140);
+  const GatewayCustomer& customer = table->Customers().front();
+  std::mt19937_64 random(kSeed);
+  AllowanceFleet fleet(7);
+  // Three hosts get twice as much as the others.
+  std::discrete_distribution<std::size_t> anyHost({ 2, 2, 2, 1, 1, 1, 1 });
+  int asked = 0;
+  int refused = 0;
+  int step = 0;
+  std::exponential_distribution<double> gap(112);
+  double nextStep = 0;
+  for (double now = 0; now < 30; now += gap(random)) {
+    while (now >= nextStep) {
+      fleet.Step(*table, nextStep, step++ % 5 == 0);
+      nextStep += 0.2;
+    }
+    const bool ok =
+      fleet.allowances_[anyHost(random)].TryTake(customer, At(now)).admitted_;
+    if (now > 5) {
+      ++asked;
+      refused += ok ? 0 : 1;
+    }
+  }
+  INFO("asked " << asked << " refused " << refused << " seed " << kSeed);
+  CHECK(refused <= asked / 50);
+}
+
+// Guards against callers that are sent to leaving hosts, or far away while a
+// host is near.
+TEST_CASE("Callers are told the hosts of their region first")
+{
+  std::map<std::string, HostRecord> hosts;
+  const auto add = [&](const char* aName, const char* aRegion, bool aDraining) {
+    HostRecord host;
+    host.callers_ = aName;
+    host.region_ = aRegion;
+    host.draining_ = aDraining;
+    hosts[aName] = host;
+  };
+  add("h1", "here", false);
+  add("h2", "here", true);
+  add("h3", "there", false);
+  using Names = std::vector<std::string>;
+  CHECK(HostsFor(hosts, "here", 64) == Names{ "h1" });
+  CHECK(HostsFor(hosts, "there", 64) == Names{ "h3" });
+  CHECK(HostsFor(hosts, "elsewhere", 64) == Names{ "h1", "h3" });
+  hosts["h1"].draining_ = true;
+  CHECK(HostsFor(hosts, "here", 64) == Names{ "h3" });
+  CHECK(HostsFor(hosts, "elsewhere", 0).empty());
+}
