Spread a part of each burst over its window, hold requests at the start

Cause: a limit holds for any window as rate times window plus burst, of which a bucket of rate and burst uses the burst once; callers of a small customer met empty parts of a bucket. Change: half of the burst is additional rate, half the bucket, half of the tolerance enlarges the hosts' parts; a new bucket has 0.7 s of its rate; a request waits up to 0.6 s for the first configuration.

--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -54,6 +54,7 @@
     Account& account = it->second;
     account.rate_ = customer.ratePerSecond_;
     account.burst_ = customer.burst_;
+    account.hosts_ = std::max<double>(1, static_cast<double>(aHosts.size()));
     const double target =
       TargetShare(customer.name_, customer.ratePerSecond_, aHosts, aSelf);
     if (added || target != account.targets_.back().second) {
@@ -81,9 +82,13 @@
     share = std::min(share, target);
   }
   aAccount.share_ = share;
+  const double spread =
+    aAccount.burst_ * options_.spreadBurst_ / ToSeconds(options_.window_);
+  const double bucket = aAccount.burst_ * (1 - options_.spreadBurst_);
   // A bucket below one token would never admit a request.
-  const double cap = std::max(1.0, aAccount.burst_ * aAccount.share_);
-  aAccount.bucket_.SetLimits(aAccount.rate_ * aAccount.share_, cap, aNow);
+  const double cap =
+    std::max(1.0, bucket * share + options_.slack_ / 2 / aAccount.hosts_);
+  aAccount.bucket_.SetLimits((aAccount.rate_ + spread) * share, cap, aNow);
 }
 
 Admission
--- a/src/gateway/CustomerAllowances.h
+++ b/src/gateway/CustomerAllowances.h
@@ -36,9 +36,18 @@
   // The part of the rate that is shared equally whatever the demand, so that
   // callers who move are not without any share until the others have read it.
   double equalPart_ = 0.2;
-  // The tokens of a new bucket, as time of its rate. A restarted host may have
-  // spent its burst in its last lifetime.
-  Duration firstTokens_ = std::chrono::milliseconds(250);
+  // The tokens of a new bucket, as time of its rate: a host that starts again
+  // has been away for longer, but may have spent its burst before.
+  Duration firstTokens_ = std::chrono::milliseconds(700);
+  // The limit holds for any window of this length: rate times window plus
+  // burst. A part of the burst is spread over the window as additional rate,
+  // the rest is the size of the bucket; both add up to the limit.
+  Duration window_ = std::chrono::seconds(5);
+  double spreadBurst_ = 0.5;
+  // Requests by which all hosts together may exceed the limit, because it is
+  // counted in parts. Half of them enlarge the hosts' buckets, the rest covers
+  // changes of shares.
+  double slack_ = 0;
   // Weight of the newest second in the measured demand.
   double demandWeight_ = 0.4;
 };
@@ -77,6 +86,7 @@
     TokenBucket bucket_;
     double rate_ = 0;
     double burst_ = 0;
+    double hosts_ = 1;
     // The share in use: the lowest target of the last raiseDelay_.
     double share_ = 0;
     // Targets and when they came; the first was in force when the delay began.
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -66,6 +66,7 @@
   ~Impl();
 
   FlowOptions MakeFlowOptions();
+  AllowanceOptions MakeAllowanceOptions() const;
   CallerHooks MakeCallerHooks();
   ControlHooks MakeControlHooks();
   ControlOptions MakeControlOptions() const;
@@ -130,6 +131,7 @@
           MakeFlowOptions(),
           instances_,
           metrics_,
+          MakeAllowanceOptions(),
           ColdStartOptions{ settings_.bounds_.coldOverage_,
                             settings_.bounds_.coldSlack_ },
           FleetRetryBudgetOptions{ settings_.bounds_.retryRatio_,
@@ -187,6 +189,15 @@
   return options;
 }
 
+AllowanceOptions
+Gateway::Impl::MakeAllowanceOptions() const
+{
+  AllowanceOptions options;
+  options.window_ = settings_.bounds_.allowanceWindow_;
+  options.slack_ = settings_.bounds_.allowanceSlack_;
+  return options;
+}
+
 bool
 Gateway::Impl::KeysAreFresh(TimePoint aNow) const
 {
@@ -221,10 +232,10 @@
   hooks.onView_ = [this](FleetSnapshotPtr aSnapshot, TimePoint aConfirmedAt) {
     const bool posted =
       traffic_.Post([this, snapshot = std::move(aSnapshot), aConfirmedAt] {
+        confirmedAt_ = aConfirmedAt;
         if (snapshot != snapshot_) {
           OnSnapshot(snapshot);
         }
-        confirmedAt_ = aConfirmedAt;
       });
     if (!posted) {
       LogEvent(Event::RingFull, { { "ring", "traffic" } });
@@ -292,7 +303,6 @@
 Gateway::Impl::OnSnapshot(const FleetSnapshotPtr& aSnapshot)
 {
   snapshot_ = aSnapshot;
-  flow_.table_ = aSnapshot->table_;
   instances_.Apply(*aSnapshot);
   const TimePoint now = BootClock::now();
   std::size_t inRegion = 0;
@@ -306,10 +316,11 @@
   }
   flow_.hostsInRegion_ = std::max<std::size_t>(inRegion, 1);
   flow_.retries_.SetHosts(aSnapshot->hosts_.size());
-  if (flow_.table_) {
+  if (aSnapshot->table_) {
     flow_.allowances_.Apply(
-      *flow_.table_, aSnapshot->hosts_, settings_.name_, now);
+      *aSnapshot->table_, aSnapshot->hosts_, settings_.name_, now);
   }
+  flow_.SetTable(aSnapshot->table_);
 }
 
 void
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -35,6 +35,10 @@
   Duration grace_ = std::chrono::seconds(6);
   double retryRatio_ = 0.2;
   double retrySlack_ = 64;
+  // Any window of this length has at most a customer's rate times window plus
+  // burst, and this many requests more over all hosts.
+  Duration allowanceWindow_ = std::chrono::seconds(5);
+  double allowanceSlack_ = 20;
   double coldOverage_ = 1.5;
   double coldSlack_ = 5;
   // The longest time for which callers use an answer about hosts.
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -120,13 +120,14 @@
                          FlowOptions aOptions,
                          InstanceTable& aInstances,
                          Metrics& aMetrics,
+                         AllowanceOptions aAllowances,
                          ColdStartOptions aColdStart,
                          FleetRetryBudgetOptions aRetries)
   : context_(aContext)
   , options_(std::move(aOptions))
   , instances_(aInstances)
   , connections_(aContext, {})
-  , allowances_({})
+  , allowances_(aAllowances)
   , coldStarts_(aColdStart)
   , retries_(aRetries)
   , metrics_(aMetrics)
@@ -134,6 +135,20 @@
 {
 }
 
+void
+FlowContext::SetTable(RoutingTablePtr aTable)
+{
+  table_ = std::move(aTable);
+  if (!table_) {
+    return;
+  }
+  std::vector<std::function<void()>> waiting;
+  waiting.swap(waiting_);
+  for (const auto& begin : waiting) {
+    begin();
+  }
+}
+
 RequestFlow::RequestFlow(FlowContext& aContext,
                          std::shared_ptr<CallerExchange> aCaller)
   : flow_(aContext)
@@ -154,21 +169,49 @@
   flow_.metrics_.requests_.Add(1);
   const CallerRequest& request = caller_->Request();
   requestId_ = HeaderOr(request.headers_, flow_.options_.headers_.requestId_);
-  if (!FindRoute()) {
-    return {};
-  }
   CallerHooks::Handling handling;
   handling.onGone_ = [self = shared_from_this()] { self->OnCallerGone(); };
-  // A non-idempotent request behind others waits for their answers: one of
-  // them may end the connection, and the caller would send it again.
-  if (route_->kind_ == RequestKind::Safe || caller_->IsFirst()) {
-    Begin();
+  handling.onFirst_ = [self = shared_from_this()] {
+    self->first_ = true;
+    self->Admit();
+  };
+  first_ = caller_->IsFirst();
+  if (flow_.table_) {
+    Admit();
   } else {
-    handling.onFirst_ = [self = shared_from_this()] { self->Begin(); };
+    WaitForTable();
   }
   return handling;
 }
 
+void
+RequestFlow::WaitForTable()
+{
+  flow_.waiting_.push_back([self = shared_from_this()] {
+    self->timer_.cancel();
+    self->Admit();
+  });
+  timer_.expires_after(ToSteady(flow_.options_.startWait_));
+  timer_.async_wait([self = shared_from_this()](ErrorCode aError) {
+    if (!aError && !self->begun_) {
+      self->Refuse(503, "no-configuration", self->flow_.options_.retryAfter_);
+    }
+  });
+}
+
+// A non-idempotent request behind others waits for their answers: one of them
+// may end the connection, and the caller would send it again.
+void
+RequestFlow::Admit()
+{
+  if (begun_ || finished_ || !flow_.table_ || !FindRoute()) {
+    return;
+  }
+  if (route_->kind_ == RequestKind::Safe || first_) {
+    Begin();
+  }
+}
+
 void
 RequestFlow::Begin()
 {
@@ -190,10 +233,6 @@
 RequestFlow::FindRoute()
 {
   table_ = flow_.table_;
-  if (!table_) {
-    Refuse(503, "no-configuration", flow_.options_.retryAfter_);
-    return false;
-  }
   const CallerRequest& request = caller_->Request();
   route_ =
     table_->FindRoute(HostWithoutPort(request.host_), PathOf(request.target_));
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -37,6 +37,8 @@
   std::function<bool(TimePoint)> keysAreFresh_;
   // When a refusal gives no better time.
   Duration retryAfter_ = std::chrono::milliseconds(300);
+  // The longest wait for the first configuration after the start.
+  Duration startWait_ = std::chrono::milliseconds(600);
   // An attempt with less time left is not made.
   Duration leastTimeLeft_ = std::chrono::milliseconds(30);
   ChooserOptions chooser_;
@@ -61,8 +63,12 @@
               FlowOptions aOptions,
               InstanceTable& aInstances,
               Metrics& aMetrics,
+              AllowanceOptions aAllowances,
               ColdStartOptions aColdStart,
               FleetRetryBudgetOptions aRetries);
+  // Takes over a configuration and begins the requests that waited for the
+  // first one.
+  void SetTable(RoutingTablePtr aTable);
 
   asio::io_context& context_;
   FlowOptions options_;
@@ -74,6 +80,8 @@
   Quarantine quarantine_;
   FlowMetrics metrics_;
   RoutingTablePtr table_;
+  // Requests that came before the first configuration, soon after the start.
+  std::vector<std::function<void()>> waiting_;
   // Registered hosts of this host's region, itself included.
   std::size_t hostsInRegion_ = 1;
   std::mt19937_64 random_;
@@ -85,10 +93,13 @@
 public:
   RequestFlow(FlowContext& aContext, std::shared_ptr<CallerExchange> aCaller);
   ~RequestFlow();
-  // Begins and returns how the connection tells of its changes.
+  // Begins, or waits for the first configuration, and returns how the
+  // connection tells of its changes.
   CallerHooks::Handling Start();
 
 private:
+  void Admit();
+  void WaitForTable();
   void Begin();
   bool FindRoute();
   bool CheckKey();
@@ -130,6 +141,7 @@
   // Some backend server may have run the request.
   bool mayHaveRun_ = false;
   bool begun_ = false;
+  bool first_ = false;
   bool finished_ = false;
 };
 
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -262,10 +262,17 @@
     }
   }
 
+  static AllowanceOptions Options()
+  {
+    AllowanceOptions options;
+    options.slack_ = 20;
+    return options;
+  }
+
   void Join()
   {
     const std::string name = "h" + std::to_string(allowances_.size());
-    allowances_.emplace_back(AllowanceOptions());
+    allowances_.emplace_back(Options());
     records_[name] = HostRecord();
   }
 
@@ -340,7 +347,7 @@
       }
       if (row.restarts_ && step % 2500 == 2000) {
         for (CustomerAllowances& one : fleet.allowances_) {
-          one = CustomerAllowances(AllowanceOptions());
+          one = CustomerAllowances(AllowanceFleet::Options());
         }
         fleet.Step(*table, now, false);
       }
