--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -57,6 +57,8 @@
   CallerLeft = 5007,
   RequestMalformed = 5008,
   AllowanceUsedUp = 5009,
+  ServerFull = 5010,
+  ViewNotConfirmed = 5011,
   // 7000: at-most-once execution
   ClaimsLoaded = 7001,
   ClaimRecordMalformed = 7002,
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -79,7 +79,7 @@
   void PublishSelf();
   void HandleControl(const HttpRequest& aRequest, HttpReply& aReply);
   bool IsReady() const;
-  bool KeysAreFresh(TimePoint aNow) const;
+  Duration ViewAge(TimePoint aNow) const;
   void WaitForSignal();
   void Reload();
   void BeginDrain();
@@ -185,7 +185,9 @@
   options.name_ = settings_.name_;
   options.region_ = settings_.region_;
   options.headers_ = adapter_.headers_;
-  options.keysAreFresh_ = [this](TimePoint aNow) { return KeysAreFresh(aNow); };
+  options.viewAge_ = [this](TimePoint aNow) { return ViewAge(aNow); };
+  options.mostViewAge_ =
+    FromSeconds(kFreshPart * ToSeconds(settings_.bounds_.keyWithdrawal_));
   return options;
 }
 
@@ -198,12 +200,11 @@
   return options;
 }
 
-bool
-Gateway::Impl::KeysAreFresh(TimePoint aNow) const
+Duration
+Gateway::Impl::ViewAge(TimePoint aNow) const
 {
-  return confirmedAt_ != TimePoint::min() &&
-         ToSeconds(aNow - confirmedAt_) <
-           kFreshPart * ToSeconds(settings_.bounds_.keyWithdrawal_);
+  return confirmedAt_ == TimePoint::min() ? Duration::max()
+                                          : aNow - confirmedAt_;
 }
 
 CallerHooks
--- a/src/gateway/InstanceChooser.cc
+++ b/src/gateway/InstanceChooser.cc
@@ -106,6 +106,7 @@
     const QueueEstimate& queue = instance->queue_;
     const bool takes = queue.Expected(aNow) <= limit || queue.HasFreeSlot(aNow);
     if (!takes) {
+      choice.full_ = instance;
       choice.wait_ = queue.Expected(aNow) - limit;
       return choice;
     }
--- a/src/gateway/InstanceChooser.h
+++ b/src/gateway/InstanceChooser.h
@@ -55,7 +55,9 @@
 {
   // Null when no server can take the request.
   InstancePtr instance_;
-  // When all are full: until the object's server can answer in time again.
+  // The object's server when it is full, and the time until it can answer
+  // within the time left again.
+  InstancePtr full_;
   Duration wait_{};
 };
 
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -249,7 +249,13 @@
   if (!table_->HasCustomers() || route_->open_) {
     return true;
   }
-  if (!flow_.options_.keysAreFresh_(BootClock::now())) {
+  const Duration age = flow_.options_.viewAge_(BootClock::now());
+  if (age >= flow_.options_.mostViewAge_) {
+    LogEvent(Event::ViewNotConfirmed,
+             { { "request", requestId_ },
+               { "age_ms", Milliseconds(age) },
+               { "limit_ms", Milliseconds(flow_.options_.mostViewAge_) },
+               { "version", table_->Version() } });
     // Another host may still reach the store.
     Refuse(503, "keys-not-fresh", flow_.options_.retryAfter_);
     return false;
@@ -443,7 +449,16 @@
   const Choice choice = Choose();
   const InstancePtr& instance = choice.instance_;
   if (!instance) {
-    const bool full = choice.wait_ > Duration::zero();
+    const bool full = choice.full_ != nullptr;
+    if (full) {
+      LogEvent(Event::ServerFull,
+               { { "request", requestId_ },
+                 { "service", service_ },
+                 { "server", choice.full_->Record().id_ },
+                 { "waiting", choice.full_->queue_.Waiting(BootClock::now()) },
+                 { "run_ms", Milliseconds(choice.full_->queue_.RunTime()) },
+                 { "left_ms", Milliseconds(TimeLeft()) } });
+    }
     if (mayHaveRun_) {
       Refuse(502, "no-further-server", Duration::zero());
     } else {
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -32,9 +32,11 @@
   std::string name_;
   std::string region_;
   GatewayHeaders headers_;
-  // Whether callers may send a request with this key at this time; false when
-  // a withdrawn key could still be in use here.
-  std::function<bool(TimePoint)> keysAreFresh_;
+  // Time since the view of the store was last confirmed; keys may have been
+  // withdrawn since.
+  std::function<Duration(TimePoint)> viewAge_;
+  // Keys are refused at a greater age.
+  Duration mostViewAge_{};
   // When a refusal gives no better time.
   Duration retryAfter_ = std::chrono::milliseconds(300);
   // The longest wait for the first configuration after the start.
