Send a region's objects where the slots are, and full servers' requests to half free ones

Cause: another region's slot weighed an eighth whatever the own region had. Change: the weight follows from the slots that the store lists; a request whose server is full goes to one that reports at most half of its slots in use.

--- a/src/gateway/InstanceChooser.cc
+++ b/src/gateway/InstanceChooser.cc
@@ -26,12 +26,10 @@
 }
 
 double
-WeightOf(const Instance& aInstance,
-         const ChoiceQuery& aQuery,
-         const ChooserOptions& aOptions)
+WeightOf(const Instance& aInstance, const ChoiceQuery& aQuery)
 {
   const bool local = aInstance.Region() == aQuery.region_;
-  return aInstance.Record().slots_ * (local ? 1.0 : aOptions.remoteWeight_);
+  return aInstance.Record().slots_ * (local ? 1.0 : aQuery.remoteWeight_);
 }
 
 // Weighted rendezvous hashing: the highest score wins, each server in
@@ -56,8 +54,7 @@
 std::vector<Scored>
 Rank(const std::vector<InstancePtr>& aCandidates,
      const ChoiceQuery& aQuery,
-     TimePoint aNow,
-     const ChooserOptions& aOptions)
+     TimePoint aNow)
 {
   std::vector<Scored> ranked;
   for (const InstancePtr& instance : aCandidates) {
@@ -67,7 +64,7 @@
     if (!allowed) {
       continue;
     }
-    const double weight = WeightOf(*instance, aQuery, aOptions);
+    const double weight = WeightOf(*instance, aQuery);
     const double score = aQuery.hasObject_
                            ? ObjectScore(*instance, weight, aQuery.objectHash_)
                            : RoomScore(*instance, weight, aNow);
@@ -97,18 +94,22 @@
                TimePoint aNow,
                const ChooserOptions& aOptions)
 {
-  const std::vector<Scored> ranked = Rank(aCandidates, aQuery, aNow, aOptions);
+  const std::vector<Scored> ranked = Rank(aCandidates, aQuery, aNow);
   const Duration limit =
     FromSeconds(ToSeconds(aQuery.timeLeft_) * aOptions.timePart_);
   Choice choice;
   for (const Scored& scored : ranked) {
     const InstancePtr& instance = *scored.instance_;
     const QueueEstimate& queue = instance->queue_;
-    const bool takes = queue.Expected(aNow) <= limit || queue.HasFreeSlot(aNow);
+    const bool takes =
+      choice.full_ ? queue.IsHalfFree(aNow)
+                   : queue.Expected(aNow) <= limit || queue.HasFreeSlot(aNow);
     if (!takes) {
-      choice.full_ = instance;
-      choice.wait_ = queue.Expected(aNow) - limit;
-      return choice;
+      if (!choice.full_) {
+        choice.full_ = instance;
+        choice.wait_ = queue.Expected(aNow) - limit;
+      }
+      continue;
     }
     if (instance->IsCold(aNow) && !aQuery.admitCold_(*instance)) {
       continue;
--- a/src/gateway/InstanceChooser.h
+++ b/src/gateway/InstanceChooser.h
@@ -5,16 +5,16 @@
 // Requests for one object go to the same server from all hosts of a region
 // without talk between them (weighted rendezvous hashing over the servers),
 // because a server that handled the object recently needs a third of the time.
-// Servers of other regions have a lower weight. An object stays with its first
-// usable server: elsewhere it would run cold, take three times as long and push
-// other objects off their servers. When the queue there is too long for the
-// time left, the request is refused, with the time at which it would fit: a
-// queue beyond the time limit only runs requests that are given up before their
-// end.
+// Servers of other regions have a lower weight, see RegionShare.h. An object
+// stays with its first usable server: elsewhere it would run cold, take three
+// times as long and push other objects off their servers. When the queue there
+// is too long for the time left, the request goes to a server that is known to
+// be half free, or is refused with the time at which it would fit: a queue
+// beyond the time limit only runs requests that are given up before their end.
 //
 //   ChoiceQuery query;
 //   query.objectHash_ = HashOf(route, object);
-//   InstancePtr instance = ChooseInstance(candidates, query, now, options);
+//   Choice choice = ChooseInstance(candidates, query, now, options);
 
 #include "gateway/InstanceTable.h"
 
@@ -28,8 +28,6 @@
 
 struct ChooserOptions
 {
-  // The weight of a slot in another region against one in the own region.
-  double remoteWeight_ = 0.125;
   // The part of the time left within which a server is expected to answer.
   double timePart_ = 0.9;
 };
@@ -41,6 +39,8 @@
   // False for requests without an object: the least loaded server is chosen.
   bool hasObject_ = false;
   std::string region_;
+  // The weight of a slot in another region against one in this region.
+  double remoteWeight_ = 1;
   // Empty: any region.
   std::vector<std::string> homeRegions_;
   // Servers that must not be chosen again for this request.
--- a/src/gateway/InstanceTable.cc
+++ b/src/gateway/InstanceTable.cc
@@ -1,8 +1,10 @@
 #include "gateway/InstanceTable.h"
 
 #include "base/EventLog.h"
+#include "gateway/RegionShare.h"
 
 #include <algorithm>
+#include <set>
 
 namespace peridotsail {
 
@@ -62,6 +64,11 @@
   : regions_(std::move(aRegions))
   , region_(std::move(aRegion))
 {
+  std::set<std::string> names;
+  for (const auto& [failureDomain, region] : regions_) {
+    names.insert(region);
+  }
+  regionCount_ = std::max<std::size_t>(1, names.size());
 }
 
 void
@@ -92,6 +99,7 @@
       local ? std::max<double>(1, static_cast<double>(hostsHere)) : 1);
     byService_[instance->record_.service_].push_back(instance);
   }
+  WeighRegions();
 }
 
 void
@@ -121,6 +129,34 @@
   instance->evacuated_ = aSnapshot.evacuated_.count(aRecord.failureDomain_) > 0;
 }
 
+// Only what the store says counts, so that all hosts of a region come to the
+// same weights; what this host found out itself does not.
+void
+InstanceTable::WeighRegions()
+{
+  remoteWeights_.clear();
+  for (const auto& [service, instances] : byService_) {
+    RegionRoom room;
+    room.regions_ = regionCount_;
+    for (const InstancePtr& instance : instances) {
+      if (instance->evacuated_ || instance->record_.draining_) {
+        continue;
+      }
+      const double slots = instance->record_.slots_;
+      room.allSlots_ += slots;
+      room.localSlots_ += instance->region_ == region_ ? slots : 0;
+    }
+    remoteWeights_[service] = RemoteSlotWeight(room);
+  }
+}
+
+double
+InstanceTable::RemoteWeight(const std::string& aService) const
+{
+  const auto found = remoteWeights_.find(aService);
+  return found == remoteWeights_.end() ? 1 : found->second;
+}
+
 const std::vector<InstancePtr>&
 InstanceTable::OfService(const std::string& aService) const
 {
--- a/src/gateway/InstanceTable.h
+++ b/src/gateway/InstanceTable.h
@@ -97,9 +97,11 @@
   // again, but stay alive while requests refer to them.
   void Apply(const FleetSnapshot& aSnapshot);
   const std::vector<InstancePtr>& OfService(const std::string& aService) const;
-  std::size_t Size() const { return instances_.size(); }
+  // The weight of a slot in another region for the service's requests.
+  double RemoteWeight(const std::string& aService) const;
 
 private:
+  void WeighRegions();
   void ApplyRecord(const InstanceRecord& aRecord,
                    TimePoint aReadAt,
                    const FleetSnapshot& aSnapshot);
@@ -108,6 +110,8 @@
   std::string region_;
   std::map<std::string, InstancePtr> instances_;
   std::map<std::string, std::vector<InstancePtr>> byService_;
+  std::map<std::string, double> remoteWeights_;
+  std::size_t regionCount_ = 1;
 };
 
 }
--- a/src/gateway/QueueEstimate.cc
+++ b/src/gateway/QueueEstimate.cc
@@ -56,6 +56,15 @@
   return FromSeconds(runSeconds_ * (1 + Waiting(aNow) / slots_));
 }
 
+bool
+QueueEstimate::IsHalfFree(TimePoint aNow) const
+{
+  const bool recent = load_.at_ != TimePoint::min() &&
+                      aNow - load_.at_ < options_.reportLifetime_;
+  const int present = load_.running_ + load_.waiting_ + sentSinceReport_;
+  return recent && HasFreeSlot(aNow) && 2 * present <= slots_;
+}
+
 bool
 QueueEstimate::HasFreeSlot(TimePoint aNow) const
 {
--- /dev/null
+++ b/src/gateway/RegionShare.h
@@ -0,0 +1,39 @@
+#pragma once
+
+// How much of a region's work stays in the region. Pure; needs no network.
+//
+// Work stays near its callers as long as the region has room for it. A region
+// with few servers for its callers, because it was built so or because servers
+// were evacuated or lost, sends a part of its objects to the others: all hosts
+// of the region compute the same part from the registrations.
+//
+//   const double weight = RemoteSlotWeight({ localSlots, allSlots, regions });
+
+#include <cstddef>
+
+namespace peridotsail {
+
+struct RegionRoom
+{
+  // Slots of usable backend servers of a service.
+  double localSlots_ = 0;
+  double allSlots_ = 0;
+  // Regions with callers; each is taken to have an equal part of them.
+  std::size_t regions_ = 1;
+};
+
+struct RegionShareOptions
+{
+  // The weight of a slot in another region while there is room in this one.
+  double leastWeight_ = 0.125;
+  // What a region keeps against its part of all slots: the way to another
+  // region costs latency, so that a little more load at home is better.
+  double homePreference_ = 1.2;
+};
+
+// The weight of a slot in another region against one in this region.
+double
+RemoteSlotWeight(const RegionRoom& aRoom,
+                 const RegionShareOptions& aOptions = {});
+
+}
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -370,6 +370,7 @@
   query.hasObject_ = !object_.empty();
   query.objectHash_ = std::hash<std::string>()(route_->name_ + '\n' + object_);
   query.region_ = flow_.options_.region_;
+  query.remoteWeight_ = flow_.instances_.RemoteWeight(service_);
   query.homeRegions_ = route_->homeRegions_;
   if (customer_ != nullptr && !customer_->homeRegions_.empty()) {
     // Both bind where both are stated.
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -3,6 +3,7 @@
 #include "gateway/FleetRetryBudget.h"
 #include "gateway/HostOrder.h"
 #include "gateway/InstanceChooser.h"
+#include "gateway/RegionShare.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -100,6 +101,79 @@
   CHECK(moved > 0);
 }
 
+// Guards against a region with few servers (built so, evacuated or lost) that
+// keeps more objects than it has slots for.
+TEST_CASE("A region keeps what its part of the slots allows")
+{
+  struct Row
+  {
+    const char* name_;
+    double local_;
+    double all_;
+    std::size_t regions_;
+    // The part of the objects that stays.
+    double least_;
+    double most_;
+  };
+  const Row rows[] = {
+    { "a third of the slots", 20, 60, 3, 0.75, 0.85 },
+    { "most of the slots", 50, 60, 3, 0.95, 1 },
+    { "a tenth of the slots", 6, 66, 3, 0.30, 0.36 },
+    { "one server after an evacuation", 3, 60, 3, 0.15, 0.20 },
+    { "no server", 0, 60, 3, 0, 0 },
+    { "the only region", 60, 60, 1, 1, 1 },
+  };
+  for (const Row& row : rows) {
+    INFO(row.name_);
+    const double weight =
+      RemoteSlotWeight({ row.local_, row.all_, row.regions_ });
+    const double stays =
+      row.local_ / (row.local_ + weight * (row.all_ - row.local_));
+    CHECK(stays >= row.least_);
+    CHECK(stays <= row.most_);
+  }
+}
+
+// Guards against refusals while another server is nearly idle, and against
+// moves that a busy fleet cannot bear.
+TEST_CASE("A full server's request goes to a half free one or is refused")
+{
+  struct Row
+  {
+    const char* name_;
+    ReportedLoad other_;
+    bool served_;
+  };
+  const Row rows[] = {
+    { "other idle", { 0, 0, At(0) }, true },
+    { "other busy", { 3, 0, At(0) }, false },
+    { "other queues", { 3, 4, At(0) }, false },
+    { "nothing known of the other", { 0, 0, At(-5) }, false },
+  };
+  for (const Row& row : rows) {
+    INFO(row.name_);
+    FleetSnapshot snapshot;
+    snapshot.instances_["a0"] = MakeRecord("a0", "a");
+    snapshot.instances_["a1"] = MakeRecord("a1", "a");
+    InstanceTable table(kRegions, "here");
+    table.Apply(snapshot);
+    const ChoiceQuery query = MakeQuery(5);
+    const InstancePtr first =
+      ChooseInstance(table.OfService("s"), query, At(0), {}).instance_;
+    first->queue_.Report({ 3, 20, At(0) });
+    for (const InstancePtr& instance : table.OfService("s")) {
+      if (instance != first) {
+        instance->queue_.Report(row.other_);
+      }
+    }
+    const Choice choice =
+      ChooseInstance(table.OfService("s"), query, At(0.1), {});
+    CHECK((choice.instance_ != nullptr) == row.served_);
+    CHECK(choice.full_ == first);
+    CHECK(choice.wait_ > Duration::zero());
+  }
+}
+
 // Guards against requests at servers that must not get them.
 TEST_CASE("Servers that are leaving, evacuated, paused or away from home are "
           "not chosen")
