Let objects leave servers that have turned slow

Change: a server whose runs take 3.5 times the median is passed over until it has had no run for two seconds.

--- a/src/gateway/InstanceChooser.cc
+++ b/src/gateway/InstanceChooser.cc
@@ -78,6 +78,36 @@
   return ranked;
 }
 
+// The run time beyond which a server counts as slow, from the servers that have
+// run something lately; no limit while fewer than three have.
+Duration
+SlowLimit(const std::vector<Scored>& aRanked,
+          TimePoint aNow,
+          const ChooserOptions& aOptions)
+{
+  std::vector<Duration> times;
+  for (const Scored& scored : aRanked) {
+    const QueueEstimate& queue = (*scored.instance_)->queue_;
+    if (queue.IsRunTimeRecent(aNow)) {
+      times.push_back(queue.RunTime());
+    }
+  }
+  if (times.size() < 3) {
+    return Duration::max();
+  }
+  const auto middle =
+    times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return FromSeconds(ToSeconds(*middle) * aOptions.slowFactor_);
+}
+
+bool
+IsSlow(const Instance& aInstance, Duration aLimit, TimePoint aNow)
+{
+  return aInstance.queue_.IsRunTimeRecent(aNow) &&
+         aInstance.queue_.RunTime() > aLimit;
+}
+
 }
 
 bool
@@ -97,10 +127,14 @@
   const std::vector<Scored> ranked = Rank(aCandidates, aQuery, aNow);
   const Duration limit =
     FromSeconds(ToSeconds(aQuery.timeLeft_) * aOptions.timePart_);
+  const Duration slowLimit = SlowLimit(ranked, aNow, aOptions);
   Choice choice;
   for (const Scored& scored : ranked) {
     const InstancePtr& instance = *scored.instance_;
     const QueueEstimate& queue = instance->queue_;
+    if (IsSlow(*instance, slowLimit, aNow)) {
+      continue;
+    }
     const bool takes =
       choice.full_ ? queue.IsHalfFree(aNow)
                    : queue.Expected(aNow) <= limit || queue.HasFreeSlot(aNow);
--- a/src/gateway/InstanceChooser.h
+++ b/src/gateway/InstanceChooser.h
@@ -7,7 +7,8 @@
 // because a server that handled the object recently needs a third of the time.
 // Servers of other regions have a lower weight, see RegionShare.h. An object
 // stays with its first usable server: elsewhere it would run cold, take three
-// times as long and push other objects off their servers. When the queue there
+// times as long and push other objects off their servers. It leaves a server
+// that is much slower than the others for as long. When the queue there
 // is too long for the time left, the request goes to a server that is known to
 // be half free, or is refused with the time at which it would fit: a queue
 // beyond the time limit only runs requests that are given up before their end.
@@ -30,6 +31,10 @@
 {
   // The part of the time left within which a server is expected to answer.
   double timePart_ = 0.9;
+  // A server whose runs take this many times as long as those of the median
+  // server is passed over. A cold server takes about three times as long as a
+  // warm one and must not be.
+  double slowFactor_ = 3.5;
 };
 
 struct ChoiceQuery
--- a/src/gateway/QueueEstimate.cc
+++ b/src/gateway/QueueEstimate.cc
@@ -44,12 +44,20 @@
 }
 
 void
-QueueEstimate::RecordRun(Duration aElapsed, double aWaiting)
+QueueEstimate::RecordRun(Duration aElapsed, double aWaiting, TimePoint aNow)
 {
+  lastRunAt_ = aNow;
   const double run = ToSeconds(aElapsed) / (1 + aWaiting / slots_);
   runSeconds_ += options_.weight_ * (run - runSeconds_);
 }
 
+bool
+QueueEstimate::IsRunTimeRecent(TimePoint aNow) const
+{
+  return lastRunAt_ != TimePoint::min() &&
+         aNow - lastRunAt_ < options_.runTimeLifetime_;
+}
+
 Duration
 QueueEstimate::Expected(TimePoint aNow) const
 {
--- a/src/gateway/QueueEstimate.h
+++ b/src/gateway/QueueEstimate.h
@@ -9,7 +9,7 @@
 //
 //   QueueEstimate estimate(slots);
 //   const double queue = estimate.Waiting(now);      // when sending
-//   estimate.RecordRun(elapsed, queue);              // at the end
+//   estimate.RecordRun(elapsed, queue, now);            // at the end
 //   if (estimate.Expected(now) > timeLeft) { look elsewhere }
 
 #include "base/BootClock.h"
@@ -30,6 +30,9 @@
   Duration firstRunTime_ = std::chrono::milliseconds(300);
   // Weight of the newest run.
   double weight_ = 0.1;
+  // After this time without a run the server is tried again, however slow it
+  // was.
+  Duration runTimeLifetime_ = std::chrono::milliseconds(2000);
   // An older report of the load says nothing about the queue now.
   Duration reportLifetime_ = std::chrono::milliseconds(1000);
 };
@@ -54,7 +57,9 @@
   double Waiting(TimePoint aNow) const;
   // aWaiting is what Waiting returned when the request was sent. A request that
   // was given up counts with the time until then.
-  void RecordRun(Duration aElapsed, double aWaiting);
+  void RecordRun(Duration aElapsed, double aWaiting, TimePoint aNow);
+  // The run time is known from runs of the last seconds.
+  bool IsRunTimeRecent(TimePoint aNow) const;
   // The time until a new request is answered.
   Duration Expected(TimePoint aNow) const;
   // A new request would start at once, as far as this host knows.
@@ -73,6 +78,7 @@
   int inFlight_ = 0;
   int sentSinceReport_ = 0;
   double runSeconds_;
+  TimePoint lastRunAt_ = TimePoint::min();
 };
 
 }
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -316,7 +316,8 @@
   QueueEstimate& queue = request_.instance_->queue_;
   queue.Ended();
   if (aRan) {
-    queue.RecordRun(BootClock::now() - startedAt_, waitingAtStart_);
+    const TimePoint now = BootClock::now();
+    queue.RecordRun(now - startedAt_, waitingAtStart_, now);
   }
 }
 
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -174,6 +174,46 @@
   }
 }
 
+// Guards against objects that stay with a server which has turned slow, and
+// against leaving a server that is only cold.
+TEST_CASE("Objects leave a slow server, and try it again later")
+{
+  struct Row
+  {
+    const char* name_;
+    Duration runTime_;
+    double askedAt_;
+    bool stays_;
+  };
+  const Row rows[] = {
+    { "as fast as the others", std::chrono::milliseconds(200), 1, true },
+    { "cold", std::chrono::milliseconds(600), 1, true },
+    { "slow", std::chrono::milliseconds(900), 1, false },
+    { "slow some seconds ago", std::chrono::milliseconds(900), 4, true },
+  };
+  constexpr int kRuns = 60;
+  for (const Row& row : rows) {
+    INFO(row.name_);
+    InstanceTable table(kRegions, "here");
+    table.Apply(MakeFleet());
+    const ChoiceQuery query = MakeQuery(5);
+    const InstancePtr first =
+      ChooseInstance(table.OfService("s"), query, At(0), {}).instance_;
+    for (const InstancePtr& instance : table.OfService("s")) {
+      for (int i = 0; i < kRuns; ++i) {
+        instance->queue_.RecordRun(instance == first
+                                     ? row.runTime_
+                                     : Duration(std::chrono::milliseconds(200)),
+                                   0,
+                                   At(0.5));
+      }
+    }
+    const Choice choice =
+      ChooseInstance(table.OfService("s"), query, At(row.askedAt_), {});
+    CHECK((choice.instance_ == first) == row.stays_);
+  }
+}
+
 // Guards against requests at servers that must not get them.
 TEST_CASE("Servers that are leaving, evacuated, paused or away from home are "
           "not chosen")
--- a/src/gateway/testing/OverloadTest.cc
+++ b/src/gateway/testing/OverloadTest.cc
@@ -195,7 +195,8 @@
       QueueEstimate& view = server.views_[finish.job_.host_]->queue_;
       view.Ended();
       view.RecordRun(FromSeconds(finish.at_ - finish.job_.sentAt_),
-                     finish.job_.waiting_);
+                     finish.job_.waiting_,
+                     At(finish.at_));
       const bool count = finish.job_.sentAt_ >= aCountFrom;
       if (finish.inTime_) {
         Touch(server, finish.job_.object_);
