--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -4,41 +4,11 @@
 #include "http/BeastTypes.h"
 
 #include <algorithm>
-#include <array>
 
 namespace peridotsail {
 
 using namespace detail;
 
-namespace {
-
-struct StatusName
-{
-  KvStatus status_;
-  std::string_view name_;
-};
-
-constexpr std::array<StatusName, 5> kStatusNames{ {
-  { KvStatus::Done, "done" },
-  { KvStatus::Refused, "refused" },
-  { KvStatus::Unknown, "unknown" },
-  { KvStatus::Gone, "gone" },
-  { KvStatus::Conflict, "conflict" },
-} };
-
-}
-
-std::string_view
-NameOf(KvStatus aStatus)
-{
-  for (const StatusName& row : kStatusNames) {
-    if (row.status_ == aStatus) {
-      return row.name_;
-    }
-  }
-  return "";
-}
-
 struct ControlLoop::Impl : public std::enable_shared_from_this<Impl>
 {
   using Kind = ControlCodec::Kind;
@@ -70,13 +40,6 @@
   void CheckMissing();
   void Publish();
 
-  void RenewLease();
-  void GrantLease();
-  void OnLeaseLost();
-  void WriteSelf();
-  void OnWritten(KvStatus aStatus, std::uint64_t aNumber);
-  void Leave(std::function<void()> aDone);
-
   asio::io_context& context_;
   KvStore& store_;
   ControlCodec codec_;
@@ -99,14 +62,7 @@
   bool reachable_ = true;
   TimePoint returnedAt_ = TimePoint::min();
 
-  HostRecord self_;
-  bool selfChanged_ = true;
-  bool writing_ = false;
-  TimePoint writtenAt_ = TimePoint::min();
-  std::uint64_t selfRevision_ = 0;
-  std::uint64_t lease_ = 0;
-  bool granting_ = false;
-  bool leaving_ = false;
+  HostRegistration registration_;
 };
 
 ControlLoop::Impl::Impl(asio::io_context& aContext,
@@ -119,6 +75,10 @@
   , codec_(std::move(aCodec))
   , options_(std::move(aOptions))
   , hooks_(std::move(aHooks))
+  , registration_(aContext,
+                  aStore,
+                  codec_.hostKey_(options_.name_),
+                  options_.registration_)
 {
 }
 
@@ -445,15 +405,11 @@
 void
 ControlLoop::Impl::ApplyHost(const std::string& aName, const KvItem& aItem)
 {
-  if (aName == options_.name_ && !aItem.removed_) {
-    selfRevision_ = std::max(selfRevision_, aItem.revision_);
+  if (aName == options_.name_) {
+    registration_.OnStored(aItem.removed_ ? 0 : aItem.revision_);
   }
   if (aItem.removed_) {
     changed_ = view_.hosts_.erase(aName) > 0 || changed_;
-    if (aName == options_.name_ && lease_ != 0 && !leaving_) {
-      selfRevision_ = 0;
-      selfChanged_ = true;
-    }
     return;
   }
   const auto host = DecodeHostRecord(aName, aItem.value_);
@@ -476,120 +432,6 @@
   hooks_.onView_(snapshot_, confirmedAt_);
 }
 
-// Renews the lease, or takes a new one, and writes this host's registration
-// when it changed.
-void
-ControlLoop::Impl::RenewLease()
-{
-  if (leaving_) {
-    return;
-  }
-  After(options_.leaseRenewal_, [](Impl& aSelf) { aSelf.RenewLease(); });
-  if (lease_ == 0) {
-    GrantLease();
-    return;
-  }
-  store_.KeepLease(lease_,
-                   [weak = weak_from_this()](KvStatus aStatus, std::uint64_t) {
-                     const auto self = weak.lock();
-                     if (self && aStatus == KvStatus::Gone) {
-                       self->OnLeaseLost();
-                     }
-                   });
-  WriteSelf();
-}
-
-void
-ControlLoop::Impl::OnLeaseLost()
-{
-  if (leaving_) {
-    return;
-  }
-  LogEvent(Event::HostLeaseLost, { { "lease", lease_ } });
-  lease_ = 0;
-  selfChanged_ = true;
-  GrantLease();
-}
-
-void
-ControlLoop::Impl::GrantLease()
-{
-  if (granting_ || leaving_) {
-    return;
-  }
-  granting_ = true;
-  store_.GrantLease(
-    options_.leaseLife_,
-    [weak = weak_from_this()](KvStatus aStatus, std::uint64_t aLease) {
-      const auto self = weak.lock();
-      if (!self) {
-        return;
-      }
-      self->granting_ = false;
-      if (aStatus == KvStatus::Done && !self->leaving_) {
-        self->lease_ = aLease;
-        self->selfChanged_ = true;
-        self->writtenAt_ = TimePoint::min();
-        self->WriteSelf();
-      }
-    });
-}
-
-void
-ControlLoop::Impl::WriteSelf()
-{
-  const TimePoint now = BootClock::now();
-  const bool paused =
-    writtenAt_ != TimePoint::min() && now - writtenAt_ < options_.publishPause_;
-  if (writing_ || lease_ == 0 || !selfChanged_ || paused || leaving_) {
-    return;
-  }
-  writing_ = true;
-  selfChanged_ = false;
-  writtenAt_ = now;
-  KvPut put;
-  put.key_ = codec_.hostKey_(options_.name_);
-  put.value_ = EncodeHostRecord(self_);
-  put.expectedRevision_ = selfRevision_;
-  put.lease_ = lease_;
-  store_.Put(
-    put, [weak = weak_from_this()](KvStatus aStatus, std::uint64_t aNumber) {
-      if (const auto self = weak.lock()) {
-        self->OnWritten(aStatus, aNumber);
-      }
-    });
-}
-
-void
-ControlLoop::Impl::OnWritten(KvStatus aStatus, std::uint64_t aNumber)
-{
-  writing_ = false;
-  if (aStatus == KvStatus::Done) {
-    selfRevision_ = std::max(selfRevision_, aNumber);
-    return;
-  }
-  selfChanged_ = true;
-  if (aStatus == KvStatus::Gone) {
-    OnLeaseLost();
-  } else if (aStatus == KvStatus::Conflict) {
-    selfRevision_ = aNumber;
-    writtenAt_ = TimePoint::min();
-    WriteSelf();
-  }
-}
-
-void
-ControlLoop::Impl::Leave(std::function<void()> aDone)
-{
-  leaving_ = true;
-  if (lease_ == 0) {
-    aDone();
-    return;
-  }
-  store_.EndLease(
-    lease_, [done = std::move(aDone)](KvStatus, std::uint64_t) { done(); });
-}
-
 ControlLoop::ControlLoop(asio::io_context& aContext,
                          KvStore& aStore,
                          ControlCodec aCodec,
@@ -609,25 +451,19 @@
 ControlLoop::Start()
 {
   impl_->ReadAll();
-  impl_->RenewLease();
+  impl_->registration_.Start();
 }
 
 void
 ControlLoop::SetSelf(HostRecord aSelf)
 {
-  const bool urgent = aSelf.draining_ != impl_->self_.draining_;
-  impl_->self_ = std::move(aSelf);
-  impl_->selfChanged_ = true;
-  if (urgent) {
-    impl_->writtenAt_ = TimePoint::min();
-  }
-  impl_->WriteSelf();
+  impl_->registration_.Set(std::move(aSelf));
 }
 
 void
 ControlLoop::Leave(std::function<void()> aDone)
 {
-  impl_->Leave(std::move(aDone));
+  impl_->registration_.Leave(std::move(aDone));
 }
 
 }
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -15,6 +15,7 @@
 // shows a gap, after which everything is read anew.
 
 #include "gateway/FleetTypes.h"
+#include "gateway/HostRegistration.h"
 #include "gateway/KvStore.h"
 
 #include <boost/asio/io_context.hpp>
@@ -66,15 +67,12 @@
   // The shortest time between two watches: changes that come together are read
   // together.
   Duration watchPause_ = std::chrono::milliseconds(200);
-  Duration leaseLife_ = std::chrono::seconds(3);
-  Duration leaseRenewal_ = std::chrono::milliseconds(1000);
   // The pause after a failed call.
   Duration retryPause_ = std::chrono::milliseconds(150);
   // Backend servers whose registration lapsed while the store was away come
   // back within this time of its return.
   Duration returnTime_ = std::chrono::milliseconds(2000);
-  // The shortest time between two writes of this host's registration.
-  Duration publishPause_ = std::chrono::milliseconds(1000);
+  RegistrationOptions registration_;
 };
 
 struct ControlHooks
--- /dev/null
+++ b/src/gateway/FlowContext.h
@@ -0,0 +1,85 @@
+#pragma once
+
+// What the requests of a host share: settings, decision objects, connections to
+// backend servers, counters. Traffic thread only; included by .cc files.
+
+#include "backend/Quarantine.h"
+#include "base/Metrics.h"
+#include "gateway/ColdStartLimit.h"
+#include "gateway/CustomerAllowances.h"
+#include "gateway/FleetRetryBudget.h"
+#include "gateway/InstanceChooser.h"
+#include "gateway/ServerExchange.h"
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace peridotsail::detail {
+
+struct FlowOptions
+{
+  // This host.
+  std::string name_;
+  std::string region_;
+  GatewayHeaders headers_;
+  // Time since the view of the store was last confirmed; keys may have been
+  // withdrawn since.
+  std::function<Duration(TimePoint)> viewAge_;
+  // Keys are refused at a greater age.
+  Duration mostViewAge_{};
+  // When a refusal gives no better time.
+  Duration retryAfter_ = std::chrono::milliseconds(300);
+  // The longest wait for the first configuration after the start.
+  Duration startWait_ = std::chrono::milliseconds(600);
+  // An attempt with less time left is not made.
+  Duration leastTimeLeft_ = std::chrono::milliseconds(30);
+  ChooserOptions chooser_;
+  InstanceHealthOptions health_;
+};
+
+struct FlowMetrics
+{
+  explicit FlowMetrics(Metrics& aMetrics);
+  MetricCounter& requests_;
+  MetricCounter& attempts_;
+  MetricCounter& retries_;
+  MetricCounter& abandoned_;
+  MetricLatency& latency_;
+  Metrics& all_;
+};
+
+// State that the requests of a host share.
+struct FlowContext
+{
+  FlowContext(asio::io_context& aContext,
+              FlowOptions aOptions,
+              InstanceTable& aInstances,
+              Metrics& aMetrics,
+              AllowanceOptions aAllowances,
+              ColdStartOptions aColdStart,
+              FleetRetryBudgetOptions aRetries);
+  // Takes over a configuration and begins the requests that waited for the
+  // first one.
+  void SetTable(RoutingTablePtr aTable);
+
+  asio::io_context& context_;
+  FlowOptions options_;
+  InstanceTable& instances_;
+  ServerConnections connections_;
+  CustomerAllowances allowances_;
+  ColdStartLimit coldStarts_;
+  FleetRetryBudget retries_;
+  Quarantine quarantine_;
+  FlowMetrics metrics_;
+  RoutingTablePtr table_;
+  // Requests that came before the first configuration, soon after the start.
+  std::vector<std::function<void()>> waiting_;
+  // Registered hosts of this host's region, itself included.
+  std::size_t hostsInRegion_ = 1;
+  std::mt19937_64 random_;
+  int inFlight_ = 0;
+};
+
+}
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -251,8 +251,8 @@
   ControlOptions options;
   options.name_ = settings_.name_;
   options.prefixes_ = adapter_.prefixes_;
-  options.leaseLife_ =
-    std::max(options.leaseLife_, settings_.bounds_.shortestLease_);
+  options.registration_.leaseLife_ = std::max(options.registration_.leaseLife_,
+                                              settings_.bounds_.shortestLease_);
   return options;
 }
 
--- a/src/gateway/KvStore.h
+++ b/src/gateway/KvStore.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace peridotsail {
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -1,7 +1,7 @@
 #include "gateway/RequestFlow.h"
 
 #include "base/EventLog.h"
-#include "base/Hash.h"
+#include "gateway/RequestHeaders.h"
 
 #include <algorithm>
 #include <charconv>
@@ -19,79 +19,6 @@
 // A caller honours Retry-After up to a third of the time that it has left.
 constexpr double kRetryAfterPart = 0.3;
 
-const char* const kHopHeaders[] = { "Connection",
-                                    "Keep-Alive",
-                                    "Proxy-Authenticate",
-                                    "Proxy-Authorization",
-                                    "Proxy-Connection",
-                                    "TE",
-                                    "Trailer",
-                                    "Transfer-Encoding",
-                                    "Upgrade",
-                                    "Content-Length",
-                                    "Expect" };
-
-bool
-IsHopHeader(std::string_view aName)
-{
-  return std::any_of(
-    std::begin(kHopHeaders), std::end(kHopHeaders), [&](const char* aHop) {
-      return EqualIgnoreCase(aName, aHop);
-    });
-}
-
-// Headers that the Connection header names concern this connection only.
-bool
-IsNamedByConnection(const HttpHeaders& aHeaders, std::string_view aName)
-{
-  for (const HttpHeader& header : aHeaders) {
-    if (EqualIgnoreCase(header.name_, "Connection") &&
-        http::token_list(header.value_)
-          .exists({ aName.data(), aName.size() })) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// The value of a cookie, or empty.
-std::string
-CookieValue(const HttpHeaders& aHeaders, const std::string& aName)
-{
-  for (const HttpHeader& header : aHeaders) {
-    if (!EqualIgnoreCase(header.name_, "Cookie")) {
-      continue;
-    }
-    std::string_view rest = header.value_;
-    while (!rest.empty()) {
-      const std::size_t end = std::min(rest.find(';'), rest.size());
-      std::string_view pair = rest.substr(0, end);
-      rest.remove_prefix(std::min(end + 1, rest.size()));
-      while (!pair.empty() && pair.front() == ' ') {
-        pair.remove_prefix(1);
-      }
-      const std::size_t equals = pair.find('=');
-      if (equals != std::string_view::npos && pair.substr(0, equals) == aName) {
-        return std::string(pair.substr(equals + 1));
-      }
-    }
-  }
-  return "";
-}
-
-std::string
-HeaderOr(const HttpHeaders& aHeaders, const std::string& aName)
-{
-  const std::string* value = FindHeader(aHeaders, aName);
-  return value == nullptr ? "" : *value;
-}
-
-std::string
-HostWithoutPort(const std::string& aHost)
-{
-  return aHost.substr(0, aHost.rfind(':'));
-}
-
 std::int64_t
 Milliseconds(Duration aDuration)
 {
@@ -101,54 +28,6 @@
 
 }
 
-FlowMetrics::FlowMetrics(Metrics& aMetrics)
-  : requests_(
-      aMetrics.Counter("peridotsail_requests_total", "Requests of callers."))
-  , attempts_(aMetrics.Counter("peridotsail_attempts_total",
-                               "Requests sent to backend servers."))
-  , retries_(aMetrics.Counter("peridotsail_retries_total",
-                              "Attempts beyond the first of a request."))
-  , abandoned_(aMetrics.Counter("peridotsail_abandoned_total",
-                                "Requests whose caller left."))
-  , latency_(aMetrics.Latency("peridotsail_request_seconds",
-                              "Time from a request's arrival to its answer."))
-  , all_(aMetrics)
-{
-}
-
-FlowContext::FlowContext(asio::io_context& aContext,
-                         FlowOptions aOptions,
-                         InstanceTable& aInstances,
-                         Metrics& aMetrics,
-                         AllowanceOptions aAllowances,
-                         ColdStartOptions aColdStart,
-                         FleetRetryBudgetOptions aRetries)
-  : context_(aContext)
-  , options_(std::move(aOptions))
-  , instances_(aInstances)
-  , connections_(aContext, {})
-  , allowances_(aAllowances)
-  , coldStarts_(aColdStart)
-  , retries_(aRetries)
-  , metrics_(aMetrics)
-  , random_(std::random_device()())
-{
-}
-
-void
-FlowContext::SetTable(RoutingTablePtr aTable)
-{
-  table_ = std::move(aTable);
-  if (!table_) {
-    return;
-  }
-  std::vector<std::function<void()>> waiting;
-  waiting.swap(waiting_);
-  for (const auto& begin : waiting) {
-    begin();
-  }
-}
-
 RequestFlow::RequestFlow(FlowContext& aContext,
                          std::shared_ptr<CallerExchange> aCaller)
   : flow_(aContext)
@@ -420,13 +299,12 @@
   const auto add = [&head](std::string_view aName, std::string_view aValue) {
     head.append(aName).append(": ").append(aValue).append("\r\n");
   };
-  for (const HttpHeader& header : request.headers_) {
+  for (const HttpHeader& header : EndToEndHeaders(request.headers_)) {
     const bool own = EqualIgnoreCase(header.name_, names.deadline_) ||
                      EqualIgnoreCase(header.name_, names.expectedInstance_) ||
                      EqualIgnoreCase(header.name_, names.customer_) ||
                      EqualIgnoreCase(header.name_, "Authorization");
-    if (!own && !IsHopHeader(header.name_) &&
-        !IsNamedByConnection(request.headers_, header.name_)) {
+    if (!own) {
       add(header.name_, header.value_);
     }
   }
@@ -605,12 +483,7 @@
     Refuse(502, "false-promise-of-the-server", Duration::zero());
     return;
   }
-  for (HttpHeader& header : aAnswer.headers_) {
-    if (!IsHopHeader(header.name_) &&
-        !IsNamedByConnection(aAnswer.headers_, header.name_)) {
-      answer.headers_.push_back(header);
-    }
-  }
+  answer.headers_ = EndToEndHeaders(aAnswer.headers_);
   answer.body_ = std::move(aAnswer.body_);
   Finish(std::move(answer), "");
 }
--- /dev/null
+++ b/src/gateway/RequestHeaders.cc
@@ -0,0 +1,100 @@
+#include "gateway/RequestHeaders.h"
+
+#include "http/BeastTypes.h"
+
+#include <algorithm>
+
+namespace peridotsail {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+const char* const kHopHeaders[] = { "Connection",
+                                    "Keep-Alive",
+                                    "Proxy-Authenticate",
+                                    "Proxy-Authorization",
+                                    "Proxy-Connection",
+                                    "TE",
+                                    "Trailer",
+                                    "Transfer-Encoding",
+                                    "Upgrade",
+                                    "Content-Length",
+                                    "Expect" };
+
+bool
+IsHopHeader(std::string_view aName)
+{
+  return std::any_of(
+    std::begin(kHopHeaders), std::end(kHopHeaders), [&](const char* aHop) {
+      return EqualIgnoreCase(aName, aHop);
+    });
+}
+
+// Headers that the Connection header names concern this connection only.
+bool
+IsNamedByConnection(const HttpHeaders& aHeaders, std::string_view aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (EqualIgnoreCase(header.name_, "Connection") &&
+        http::token_list(header.value_)
+          .exists({ aName.data(), aName.size() })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}
+
+HttpHeaders
+EndToEndHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders kept;
+  for (const HttpHeader& header : aHeaders) {
+    if (!IsHopHeader(header.name_) &&
+        !IsNamedByConnection(aHeaders, header.name_)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+std::string
+CookieValue(const HttpHeaders& aHeaders, const std::string& aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (!EqualIgnoreCase(header.name_, "Cookie")) {
+      continue;
+    }
+    std::string_view rest = header.value_;
+    while (!rest.empty()) {
+      const std::size_t end = std::min(rest.find(';'), rest.size());
+      std::string_view pair = rest.substr(0, end);
+      rest.remove_prefix(std::min(end + 1, rest.size()));
+      while (!pair.empty() && pair.front() == ' ') {
+        pair.remove_prefix(1);
+      }
+      const std::size_t equals = pair.find('=');
+      if (equals != std::string_view::npos && pair.substr(0, equals) == aName) {
+        return std::string(pair.substr(equals + 1));
+      }
+    }
+  }
+  return "";
+}
+
+std::string
+HeaderOr(const HttpHeaders& aHeaders, const std::string& aName)
+{
+  const std::string* value = FindHeader(aHeaders, aName);
+  return value == nullptr ? "" : *value;
+}
+
+std::string
+HostWithoutPort(const std::string& aHost)
+{
+  return aHost.substr(0, aHost.rfind(':'));
+}
+
+}
