--- a/src/gateway/InstanceChooser.cc
+++ b/src/gateway/InstanceChooser.cc
@@ -110,6 +110,25 @@
 
 }
 
+std::optional<std::vector<std::string>>
+CommonHomes(const std::vector<std::string>& aLeft,
+            const std::vector<std::string>& aRight)
+{
+  if (aLeft.empty() || aRight.empty()) {
+    return aLeft.empty() ? aRight : aLeft;
+  }
+  std::vector<std::string> common;
+  for (const std::string& region : aLeft) {
+    if (IsHome(aRight, region)) {
+      common.push_back(region);
+    }
+  }
+  if (common.empty()) {
+    return std::nullopt;
+  }
+  return common;
+}
+
 bool
 IsHome(const std::vector<std::string>& aHomeRegions, const std::string& aRegion)
 {
--- a/src/gateway/InstanceChooser.h
+++ b/src/gateway/InstanceChooser.h
@@ -21,6 +21,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -72,6 +73,12 @@
                TimePoint aNow,
                const ChooserOptions& aOptions);
 
+// The regions that both lists allow; an empty list allows all. Nothing when no
+// region is in both.
+std::optional<std::vector<std::string>>
+CommonHomes(const std::vector<std::string>& aLeft,
+            const std::vector<std::string>& aRight);
+
 // Whether a request with these homes may run in the region.
 bool
 IsHome(const std::vector<std::string>& aHomeRegions,
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -250,23 +250,14 @@
   query.objectHash_ = std::hash<std::string>()(route_->name_ + '\n' + object_);
   query.region_ = flow_.options_.region_;
   query.remoteWeight_ = flow_.instances_.RemoteWeight(service_);
-  query.homeRegions_ = route_->homeRegions_;
-  if (customer_ != nullptr && !customer_->homeRegions_.empty()) {
-    // Both bind where both are stated.
-    if (query.homeRegions_.empty()) {
-      query.homeRegions_ = customer_->homeRegions_;
-    } else {
-      query.homeRegions_.clear();
-      for (const std::string& region : route_->homeRegions_) {
-        if (IsHome(customer_->homeRegions_, region)) {
-          query.homeRegions_.push_back(region);
-        }
-      }
-      if (query.homeRegions_.empty()) {
-        return {};
-      }
-    }
-  }
+  const auto homes =
+    CommonHomes(route_->homeRegions_,
+                customer_ == nullptr ? std::vector<std::string>()
+                                     : customer_->homeRegions_);
+  if (!homes) {
+    return {};
+  }
+  query.homeRegions_ = *homes;
   query.tried_ = tried_;
   query.timeLeft_ = TimeLeft();
   query.admitCold_ = [this](const Instance& aInstance) {
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -519,6 +519,17 @@
   CHECK(refused <= asked / 50);
 }
 
+// Guards against a request that leaves the homes of its route or its customer.
+TEST_CASE("Where a route and a customer have homes, both bind")
+{
+  using Names = std::vector<std::string>;
+  CHECK(CommonHomes({}, {}) == Names{});
+  CHECK(CommonHomes({ "a" }, {}) == Names{ "a" });
+  CHECK(CommonHomes({}, { "b" }) == Names{ "b" });
+  CHECK(CommonHomes({ "a", "b" }, { "b", "c" }) == Names{ "b" });
+  CHECK_FALSE(CommonHomes({ "a" }, { "c" }));
+}
+
 // Guards against callers that are sent to leaving hosts, or far away while a
 // host is near.
 TEST_CASE("Callers are told the hosts of their region first")
