Do not call a sent request not run when its connect limit is over

Cause: a host that was frozen while it connected finds the connection open and its time limit over in the same turn of the event loop. Ruled out: a statement of the first server; it ran the request. Change: the timer only counts before the request is sent.

--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -103,7 +103,9 @@
   connection_ = connections_.MakeNew(request_.instance_);
   connectTimer_.expires_after(ToSteady(request_.connectLimit_));
   connectTimer_.async_wait([self = shared_from_this()](ErrorCode aError) {
-    if (!aError && !self->finished_) {
+    // After a freeze the connection may have opened in the same turn, and the
+    // request be on its way.
+    if (!aError && !self->finished_ && !self->sent_) {
       self->result_.unreachable_ = true;
       self->Finish(ExchangeOutcome::NotRun, "connect timeout");
     }
