Let a host that joins wait before it uses cold servers

Cause: the hosts of a region share a cold server's rate by their number. Ruled out: a server that turned cold without an entry; every send was counted. Change: a host takes nothing for 2 s after its registration, nor with a view older than 2 s, when its registration may have ended.

--- a/src/gateway/ColdStartLimit.cc
+++ b/src/gateway/ColdStartLimit.cc
@@ -1,5 +1,6 @@
 #include "gateway/ColdStartLimit.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace peridotsail {
@@ -18,15 +19,30 @@
 {
 }
 
+void
+ColdStartLimit::SetHosts(bool aRegistered, std::size_t aHosts, TimePoint aNow)
+{
+  hosts_ = std::max<std::size_t>(aHosts, 1);
+  if (!aRegistered) {
+    joinedAt_.reset();
+  } else if (!joinedAt_) {
+    joinedAt_ = aNow;
+  }
+}
+
 bool
 ColdStartLimit::TryTake(const std::string& aInstance,
                         double aPerSecond,
-                        std::size_t aHosts,
+                        Duration aViewAge,
                         TimePoint aNow)
 {
+  const bool joined = joinedAt_ && aNow - *joinedAt_ >= options_.joinDelay_;
+  if (!joined || aViewAge > options_.mostViewAge_) {
+    return false;
+  }
   const double all =
     (aPerSecond * options_.overage_ + options_.slack_) * options_.part_;
-  const double own = std::floor(all / static_cast<double>(aHosts));
+  const double own = std::floor(all / static_cast<double>(hosts_));
   if (sends_.size() > kMostServers) {
     sends_.clear();
   }
--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -76,8 +76,6 @@
   RoutingTablePtr table_;
   // Requests that came before the first configuration, soon after the start.
   std::vector<std::function<void()>> waiting_;
-  // Registered hosts of this host's region, itself included.
-  std::size_t hostsInRegion_ = 1;
   std::mt19937_64 random_;
   int inFlight_ = 0;
 };
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -315,7 +315,7 @@
       }
     }
   }
-  flow_.hostsInRegion_ = std::max<std::size_t>(inRegion, 1);
+  flow_.coldStarts_.SetHosts(aSnapshot->registered_, inRegion, now);
   flow_.retries_.SetHosts(aSnapshot->hosts_.size());
   if (aSnapshot->table_) {
     flow_.allowances_.Apply(
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -277,8 +277,9 @@
   }
   const GatewayService* service = table_->FindService(service_);
   const double perSecond = service == nullptr ? 0 : service->coldPerSecond_;
+  const TimePoint now = BootClock::now();
   return flow_.coldStarts_.TryTake(
-    aInstance.Record().id_, perSecond, flow_.hostsInRegion_, BootClock::now());
+    aInstance.Record().id_, perSecond, flow_.options_.viewAge_(now), now);
 }
 
 std::string
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -292,23 +292,36 @@
   CHECK_FALSE(old->IsUsable(At(100)));
 }
 
-// Guards against more than the bound in any second, over all hosts together.
+// Guards against more than the bound in any second, over all hosts together,
+// also while hosts join those that had larger parts.
 TEST_CASE("Hosts together stay below a cold server's limit")
 {
   constexpr double kPerSecond = 5.2;
+  // When the hosts beyond the first are registered, and how much later the
+  // others read of it.
+  constexpr double kJoinedAt = 5;
+  constexpr double kReadDelay = 0.5;
   const ColdStartOptions options;
   for (const std::size_t hosts : { 1, 2, 3, 6 }) {
-    INFO("hosts " << hosts);
+    INFO("hosts " << hosts << " seed " << kSeed);
     std::vector<ColdStartLimit> limits(hosts, ColdStartLimit(options));
+    limits[0].SetHosts(true, 1, At(0));
     std::mt19937_64 random(kSeed);
     std::uniform_int_distribution<std::size_t> anyHost(0, hosts - 1);
     std::vector<double> sent;
-    for (double now = 0; now < 10; now += 0.003) {
-      if (limits[anyHost(random)].TryTake("i", kPerSecond, hosts, At(now))) {
+    for (double now = 0; now < 15; now += 0.003) {
+      for (std::size_t i = 0; i < hosts; ++i) {
+        const double reads = i == 0 ? kJoinedAt + kReadDelay : kJoinedAt;
+        if (now >= reads) {
+          limits[i].SetHosts(true, hosts, At(now));
+        }
+      }
+      if (limits[anyHost(random)].TryTake(
+            "i", kPerSecond, Duration::zero(), At(now))) {
         sent.push_back(now);
       }
     }
-    CHECK_FALSE(sent.empty());
+    CHECK(sent.back() > kJoinedAt + 5);
     const double bound = kPerSecond * options.overage_ + options.slack_;
     for (const double begin : sent) {
       int count = 0;
@@ -320,6 +333,22 @@
   }
 }
 
+// Guards against a host that goes on with its part after its registration has
+// ended and the others have taken it over.
+TEST_CASE("A host that is not registered, or has an old view, uses no cold "
+          "server")
+{
+  ColdStartLimit limit({});
+  CHECK_FALSE(limit.TryTake("i", 5, Duration::zero(), At(10)));
+  limit.SetHosts(true, 1, At(10));
+  CHECK(limit.TryTake("i", 5, Duration::zero(), At(13)));
+  CHECK_FALSE(limit.TryTake("i", 5, std::chrono::seconds(3), At(13)));
+  limit.SetHosts(false, 0, At(14));
+  CHECK_FALSE(limit.TryTake("i", 5, Duration::zero(), At(14)));
+  limit.SetHosts(true, 1, At(15));
+  CHECK_FALSE(limit.TryTake("i", 5, Duration::zero(), At(15)));
+}
+
 // Guards against retries that amplify a failure, over all hosts together.
 TEST_CASE("Hosts together stay below the bound of retries in any window")
 {
