Let serve take its options again

Cause: docopt leaves options that any usage line names out of [options], so the line of serve-platform with its three options made serve refuse its own. Change: serve-platform takes [options] too. The help text no longer names the platform's variable, which only platform/ knows.

--- a/src/app/Main.cc
+++ b/src/app/Main.cc
@@ -29,7 +29,7 @@
 
 Usage:
   peridotsail serve [options]
-  peridotsail serve-platform [--settings=<file>] [--log-level=<level>] [--log-format=<format>]
+  peridotsail serve-platform [options]
   peridotsail lookup --host=<address> [--block=<block>] [--json]
   peridotsail config validate <file> [--json]
   peridotsail config (show | history | status) [options]
@@ -57,8 +57,8 @@
 serve-platform serves as an entry host on the members' platform, with the
 settings file that the platform writes. It logs JSON to standard output.
 
-  --settings=<file>           Settings file; the variable PERIDOTSAIL_BOOT by
-                              default.
+  --settings=<file>           Settings file; by default the one that the
+                              platform names in the environment.
 
 Serve options:
   --name=<name>               Name of this host, as in the host list.
