Use one piece of code for opening ports and for rendezvous scores

Cause: HttpServer, CallerServer and CallerListener opened their ports alike; LookupService and InstanceChooser had the same mixing of hashes; a test slept for a fixed time. Change: OpenAcceptor in BeastTypes.h; MixHash, UnitHash and RendezvousScore in base/Hash; the test waits until the kernel has let the connection in and the limit is over. Ruled out: StableHash for the chooser's objects.

--- a/src/base/Hash.cc
+++ b/src/base/Hash.cc
@@ -1,6 +1,7 @@
 #include "base/Hash.h"
 
 #include <array>
+#include <cmath>
 #include <openssl/crypto.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
@@ -35,21 +36,43 @@
   return ToHex(digest.data(), digest.size());
 }
 
+std::uint64_t
+MixHash(std::uint64_t aValue)
+{
+  // The finalizer of SplitMix64.
+  aValue ^= aValue >> 30;
+  aValue *= 0xbf58476d1ce4e5b9ULL;
+  aValue ^= aValue >> 27;
+  aValue *= 0x94d049bb133111ebULL;
+  return aValue ^ (aValue >> 31);
+}
+
 std::uint64_t
 StableHash(std::string_view aText, std::uint64_t aSeed)
 {
-  // FNV-1a with the finalizer of SplitMix64, which spreads the low entropy of
-  // short texts over all bits.
+  // FNV-1a; short texts have low entropy.
   std::uint64_t hash = 14695981039346656037ULL ^ aSeed;
   for (const char c : aText) {
     hash ^= static_cast<unsigned char>(c);
     hash *= 1099511628211ULL;
   }
-  hash ^= hash >> 30;
-  hash *= 0xbf58476d1ce4e5b9ULL;
-  hash ^= hash >> 27;
-  hash *= 0x94d049bb133111ebULL;
-  return hash ^ (hash >> 31);
+  return MixHash(hash);
+}
+
+double
+UnitHash(std::uint64_t aValue)
+{
+  // The upper 53 bits are those that a double holds.
+  constexpr double kScale = 1.0 / 9007199254740992.0;
+  return (static_cast<double>(MixHash(aValue) >> 11) + 0.5) * kScale;
+}
+
+double
+RendezvousScore(std::uint64_t aKey,
+                std::uint64_t aCandidateHash,
+                double aWeight)
+{
+  return aWeight / -std::log(UnitHash(aKey ^ aCandidateHash));
 }
 
 bool
--- a/src/gateway/CallerListener.cc
+++ b/src/gateway/CallerListener.cc
@@ -24,22 +24,7 @@
 bool
 CallerListener::Listen(const Address& aAddress, Error& aError)
 {
-  const tcp::endpoint endpoint = ToEndpoint(aAddress);
-  ErrorCode error;
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(kBacklog, error);
-  }
-  if (error) {
-    aError = { ErrorKind::Internal,
-               "cannot listen on " + aAddress.ip_ + ":" +
-                 std::to_string(aAddress.port_) + ": " + error.message() };
+  if (!OpenAcceptor(acceptor_, aAddress, kBacklog, aError)) {
     return false;
   }
   Accept();
--- a/src/gateway/InstanceChooser.cc
+++ b/src/gateway/InstanceChooser.cc
@@ -1,8 +1,8 @@
 #include "gateway/InstanceChooser.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
-#include <cmath>
-#include <functional>
 
 namespace peridotsail {
 
@@ -14,17 +14,6 @@
   double score_;
 };
 
-// Spreads the bits of a hash (the finalizer of SplitMix64).
-std::uint64_t
-Mix(std::uint64_t aValue)
-{
-  aValue ^= aValue >> 30;
-  aValue *= 0xbf58476d1ce4e5b9ULL;
-  aValue ^= aValue >> 27;
-  aValue *= 0x94d049bb133111ebULL;
-  return aValue ^ (aValue >> 31);
-}
-
 double
 WeightOf(const Instance& aInstance, const ChoiceQuery& aQuery)
 {
@@ -32,18 +21,6 @@
   return aInstance.Record().slots_ * (local ? 1.0 : aQuery.remoteWeight_);
 }
 
-// Weighted rendezvous hashing: the highest score wins, each server in
-// proportion to its weight.
-double
-ObjectScore(const Instance& aInstance, double aWeight, std::uint64_t aObject)
-{
-  constexpr double kHashRange = 18446744073709551616.0;
-  const std::uint64_t hash =
-    Mix(aObject ^ Mix(std::hash<std::string>()(aInstance.Record().id_)));
-  const double unit = (static_cast<double>(hash) + 0.5) / kHashRange;
-  return -aWeight / std::log(unit);
-}
-
 // Higher for a server that is expected to answer sooner.
 double
 RoomScore(const Instance& aInstance, double aWeight, TimePoint aNow)
@@ -65,9 +42,10 @@
       continue;
     }
     const double weight = WeightOf(*instance, aQuery);
-    const double score = aQuery.hasObject_
-                           ? ObjectScore(*instance, weight, aQuery.objectHash_)
-                           : RoomScore(*instance, weight, aNow);
+    const double score =
+      aQuery.hasObject_
+        ? RendezvousScore(aQuery.objectHash_, instance->IdHash(), weight)
+        : RoomScore(*instance, weight, aNow);
     ranked.push_back({ &instance, score });
   }
   std::sort(ranked.begin(),
--- a/src/gateway/InstanceTable.cc
+++ b/src/gateway/InstanceTable.cc
@@ -1,9 +1,11 @@
 #include "gateway/InstanceTable.h"
 
 #include "base/EventLog.h"
+#include "base/Hash.h"
 #include "gateway/RegionShare.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace peridotsail {
@@ -11,6 +13,7 @@
 Instance::Instance(InstanceRecord aRecord)
   : queue_(aRecord.slots_)
   , record_(std::move(aRecord))
+  , idHash_(MixHash(std::hash<std::string>()(record_.id_)))
 {
 }
 
--- a/src/gateway/InstanceTable.h
+++ b/src/gateway/InstanceTable.h
@@ -54,6 +54,8 @@
 
   const InstanceRecord& Record() const { return record_; }
   const std::string& Region() const { return region_; }
+  // The same on all hosts that run the same build.
+  std::uint64_t IdHash() const { return idHash_; }
   bool IsCold(TimePoint aNow) const { return aNow < coldUntil_; }
   // Left out because of failures.
   bool IsPaused(TimePoint aNow) const { return aNow < pausedUntil_; }
@@ -74,6 +76,7 @@
 
   InstanceRecord record_;
   std::string region_;
+  std::uint64_t idHash_ = 0;
   TimePoint coldUntil_ = TimePoint::min();
   TimePoint pausedUntil_ = TimePoint::min();
   Duration pause_{};
--- a/src/gateway/testing/ServerExchangeTest.cc
+++ b/src/gateway/testing/ServerExchangeTest.cc
@@ -2,18 +2,17 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <poll.h>
 #include <sys/socket.h>
-#include <thread>
 
 using namespace peridotsail;
 using namespace peridotsail::detail;
 
 namespace {
 
-constexpr Duration kConnectLimit = std::chrono::milliseconds(1500);
-// Longer than the limit and than the time after which the kernel sends the
-// opening packet again, so that both have passed when the host goes on.
-constexpr std::chrono::milliseconds kFrozen(2500);
+constexpr Duration kConnectLimit = std::chrono::milliseconds(200);
+// A hanging test ends after this time.
+constexpr int kGenerousMs = 20000;
 constexpr std::size_t kFillers = 4;
 
 // A port whose queue of new connections is full.
@@ -59,6 +58,13 @@
     }
   }
 
+  // Waits until the kernel has let in a further connection.
+  bool WaitForNext()
+  {
+    pollfd waiting{ acceptor_.native_handle(), POLLIN, 0 };
+    return poll(&waiting, 1, kGenerousMs) == 1;
+  }
+
 private:
   tcp::acceptor acceptor_;
   std::vector<tcp::socket> fillers_;
@@ -93,9 +99,12 @@
       outcome = aResult.outcome_;
     });
   exchange->Start();
+  asio::io_context otherContext;
+  asio::steady_timer limitIsOver(otherContext, ToSteady(kConnectLimit));
   context.poll();
   port.MakeRoom(context);
-  std::this_thread::sleep_for(kFrozen);
+  REQUIRE(port.WaitForNext());
+  limitIsOver.wait();
   context.restart();
   context.poll();
   context.restart();
--- a/src/http/BeastTypes.h
+++ b/src/http/BeastTypes.h
@@ -4,6 +4,7 @@
 // files only, because Beast is slow to compile.
 
 #include "base/BootClock.h"
+#include "base/ErrorKind.h"
 #include "http/HttpTypes.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -39,6 +40,34 @@
     aDuration);
 }
 
+// Opens the port and listens on it. Returns false and sets aError when that
+// fails.
+inline bool
+OpenAcceptor(tcp::acceptor& aAcceptor,
+             const Address& aAddress,
+             int aBacklog,
+             Error& aError)
+{
+  const tcp::endpoint endpoint = ToEndpoint(aAddress);
+  ErrorCode error;
+  aAcceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(aBacklog, error);
+  }
+  if (error) {
+    aError = { ErrorKind::Internal,
+               "cannot listen on " + aAddress.ip_ + ":" +
+                 std::to_string(aAddress.port_) + ": " + error.message() };
+  }
+  return !error;
+}
+
 template<typename Fields>
 HttpHeaders
 ToHeaders(const Fields& aFields)
--- a/src/http/HttpServer.cc
+++ b/src/http/HttpServer.cc
@@ -276,16 +276,11 @@
 bool
 HttpServer::Listen(const Address& aAddress, Error& aError)
 {
-  try {
-    const tcp::endpoint endpoint = ToEndpoint(aAddress);
-    impl_->acceptor_.open(endpoint.protocol());
-    impl_->acceptor_.set_option(asio::socket_base::reuse_address(true));
-    impl_->acceptor_.bind(endpoint);
-    impl_->acceptor_.listen();
-  } catch (const boost::system::system_error& error) {
-    aError = { ErrorKind::Internal,
-               "cannot listen on " + aAddress.ip_ + ":" +
-                 std::to_string(aAddress.port_) + ": " + error.what() };
+  const bool opened = OpenAcceptor(impl_->acceptor_,
+                                   aAddress,
+                                   asio::socket_base::max_listen_connections,
+                                   aError);
+  if (!opened) {
     return false;
   }
   impl_->Accept();
--- a/src/proxy/CallerServer.cc
+++ b/src/proxy/CallerServer.cc
@@ -48,17 +48,11 @@
 bool
 CallerServer::Listen(Error& aError)
 {
-  const Address& address = impl_->options_.listen_;
-  try {
-    const tcp::endpoint endpoint = ToEndpoint(address);
-    impl_->acceptor_.open(endpoint.protocol());
-    impl_->acceptor_.set_option(asio::socket_base::reuse_address(true));
-    impl_->acceptor_.bind(endpoint);
-    impl_->acceptor_.listen();
-  } catch (const boost::system::system_error& error) {
-    aError = { ErrorKind::Internal,
-               "cannot listen on " + address.ip_ + ":" +
-                 std::to_string(address.port_) + ": " + error.what() };
+  const bool opened = OpenAcceptor(impl_->acceptor_,
+                                   impl_->options_.listen_,
+                                   asio::socket_base::max_listen_connections,
+                                   aError);
+  if (!opened) {
     return false;
   }
   impl_->Accept();
--- a/src/steering/LookupService.cc
+++ b/src/steering/LookupService.cc
@@ -3,7 +3,6 @@
 #include "base/Hash.h"
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <limits>
 #include <utility>
@@ -19,33 +18,6 @@
 // Weight of a region that reports no headroom.
 constexpr double kMinWeight = 1e-6;
 
-std::uint64_t
-Mix(std::uint64_t aValue)
-{
-  // The finalizer of SplitMix64.
-  aValue ^= aValue >> 30;
-  aValue *= 0xbf58476d1ce4e5b9ULL;
-  aValue ^= aValue >> 27;
-  aValue *= 0x94d049bb133111ebULL;
-  return aValue ^ (aValue >> 31);
-}
-
-// A number in (0, 1) from the upper 53 bits.
-double
-ToUnit(std::uint64_t aHash)
-{
-  constexpr double kScale = 1.0 / 9007199254740992.0;
-  return (static_cast<double>(aHash >> 11) + 0.5) * kScale;
-}
-
-}
-
-double
-RendezvousScore(std::uint64_t aKey,
-                std::uint64_t aCandidateHash,
-                double aWeight)
-{
-  return aWeight / -std::log(ToUnit(Mix(aKey ^ aCandidateHash)));
 }
 
 LookupService::LookupService(LookupOptions aOptions)
@@ -202,7 +174,7 @@
 bool
 LookupService::Keeps(std::uint64_t aKey, const Region& aHome)
 {
-  return ToUnit(Mix(aKey ^ aHome.hash_ ^ kKeepSeed)) < aHome.share_.keep_;
+  return UnitHash(aKey ^ aHome.hash_ ^ kKeepSeed) < aHome.share_.keep_;
 }
 
 // Puts the region that receives the block first. A home region that is being
--- a/src/steering/LookupService.h
+++ b/src/steering/LookupService.h
@@ -15,6 +15,7 @@
 // only the blocks of a host that goes are moved.
 
 #include "base/BootClock.h"
+#include "base/Hash.h"
 #include "config/Configuration.h"
 #include "steering/BlockTable.h"
 
@@ -138,12 +139,4 @@
   std::vector<Region> regions_;
 };
 
-// The rendezvous score of a candidate for a key; the largest score wins. Each
-// candidate wins a part of the keys in proportion to its weight, and a change
-// of one candidate moves only keys to or from it.
-double
-RendezvousScore(std::uint64_t aKey,
-                std::uint64_t aCandidateHash,
-                double aWeight);
-
 }
