--- a/src/app/Main.cc
+++ b/src/app/Main.cc
@@ -54,9 +54,10 @@
 Each option of serve is also an environment variable: PERIDOTSAIL_ and the
 flag's name in upper case with underscores.
 
-serve-platform serves as an entry host on the members' platform, with the
-settings file that the platform writes. It logs JSON to standard output.
+serve-platform serves as an entry host on the members' platform. It logs JSON to
+standard output and takes --settings, --log-format and --log-level.
 
+Platform options:
   --settings=<file>           Settings file; by default the one that the
                               platform names in the environment.
 
