Remove what the gateway does not use

Cause: accessors without callers, a counter whose limit was one, a count of connections that nothing read, and the test of changed demand in Gateway.cc. Change: removed; DemandChanged stands beside the shares that need it. No change of behaviour.

--- a/src/gateway/CallerConnection.cc
+++ b/src/gateway/CallerConnection.cc
@@ -205,7 +205,7 @@
   }
 }
 
-// Returns whether a whole request was read.
+// Returns whether bytes were used, so that parsing may go on.
 bool
 CallerConnection::ParseOne()
 {
--- a/src/gateway/CallerListener.cc
+++ b/src/gateway/CallerListener.cc
@@ -32,13 +32,6 @@
   return true;
 }
 
-std::uint16_t
-CallerListener::Port() const
-{
-  ErrorCode ignored;
-  return acceptor_.local_endpoint(ignored).port();
-}
-
 void
 CallerListener::Accept()
 {
--- a/src/gateway/CallerListener.h
+++ b/src/gateway/CallerListener.h
@@ -22,7 +22,6 @@
                  CallerHooks aHooks,
                  std::size_t aMostConnections);
   bool Listen(const Address& aAddress, Error& aError);
-  std::uint16_t Port() const;
   // Stops accepting; open connections go on.
   void Close();
   void CloseIdle();
--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -1,6 +1,7 @@
 #include "gateway/CustomerAllowances.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotsail {
 
@@ -8,9 +9,29 @@
 
 // Demand below this does not change shares; requests a second.
 constexpr double kLeastDemand = 0.5;
+// Demand is published when it changed by this part since the last time.
+constexpr double kDemandChange = 0.25;
+constexpr double kLeastDemandChange = 2;
 
 }
 
+bool
+DemandChanged(const std::map<std::string, double>& aOld,
+              const std::map<std::string, double>& aNew)
+{
+  const auto differs = [](const std::map<std::string, double>& aLeft,
+                          const std::map<std::string, double>& aRight) {
+    return std::any_of(aLeft.begin(), aLeft.end(), [&](const auto& aEntry) {
+      const auto found = aRight.find(aEntry.first);
+      const double other = found == aRight.end() ? 0 : found->second;
+      const double step = std::max(
+        kLeastDemandChange, kDemandChange * std::max(aEntry.second, other));
+      return std::abs(aEntry.second - other) > step;
+    });
+  };
+  return differs(aOld, aNew) || differs(aNew, aOld);
+}
+
 CustomerAllowances::CustomerAllowances(AllowanceOptions aOptions)
   : options_(aOptions)
 {
@@ -60,16 +81,15 @@
     if (added || target != account.targets_.back().second) {
       account.targets_.emplace_back(aNow, target);
     }
-    UseShare(account, aNow);
+    const double share = UseShare(account, aNow);
     if (added) {
-      account.bucket_.Put(account.rate_ * account.share_ *
-                            ToSeconds(options_.firstTokens_),
-                          aNow);
+      account.bucket_.Put(
+        account.rate_ * share * ToSeconds(options_.firstTokens_), aNow);
     }
   }
 }
 
-void
+double
 CustomerAllowances::UseShare(Account& aAccount, TimePoint aNow)
 {
   std::deque<std::pair<TimePoint, double>>& targets = aAccount.targets_;
@@ -81,7 +101,6 @@
   for (const auto& [at, target] : targets) {
     share = std::min(share, target);
   }
-  aAccount.share_ = share;
   const double spread =
     aAccount.burst_ * options_.spreadBurst_ / ToSeconds(options_.window_);
   const double bucket = aAccount.burst_ * (1 - options_.spreadBurst_);
@@ -89,6 +108,7 @@
   const double cap =
     std::max(1.0, bucket * share + options_.slack_ / 2 / aAccount.hosts_);
   aAccount.bucket_.SetLimits((aAccount.rate_ + spread) * share, cap, aNow);
+  return share;
 }
 
 Admission
--- a/src/gateway/CustomerAllowances.h
+++ b/src/gateway/CustomerAllowances.h
@@ -61,6 +61,12 @@
   double rate_ = 0;
 };
 
+// Whether demand changed so much that other hosts should know: shares follow
+// it.
+bool
+DemandChanged(const std::map<std::string, double>& aOld,
+              const std::map<std::string, double>& aNew);
+
 class CustomerAllowances
 {
 public:
@@ -87,9 +93,8 @@
     double rate_ = 0;
     double burst_ = 0;
     double hosts_ = 1;
-    // The share in use: the lowest target of the last raiseDelay_.
-    double share_ = 0;
     // Targets and when they came; the first was in force when the delay began.
+    // The lowest one is the share in use.
     std::deque<std::pair<TimePoint, double>> targets_;
     double requests_ = 0;
     double demand_ = 0;
@@ -99,7 +104,8 @@
                      double aRate,
                      const std::map<std::string, HostRecord>& aHosts,
                      const std::string& aSelf) const;
-  void UseShare(Account& aAccount, TimePoint aNow);
+  // Sets the bucket's limits and returns the share in use.
+  double UseShare(Account& aAccount, TimePoint aNow);
 
   AllowanceOptions options_;
   std::map<std::string, Account> accounts_;
--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -20,8 +20,7 @@
 
 struct FlowOptions
 {
-  // This host.
-  std::string name_;
+  // This host's region.
   std::string region_;
   GatewayHeaders headers_;
   // Time since the view of the store was last confirmed; keys may have been
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -37,26 +37,6 @@
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 // Descriptors for other uses than callers' connections.
 constexpr std::size_t kReservedDescriptors = 600;
-// Demand is published when it changed by this part since the last time.
-constexpr double kDemandChange = 0.25;
-constexpr double kLeastDemandChange = 2;
-
-bool
-DemandChanged(const std::map<std::string, double>& aOld,
-              const std::map<std::string, double>& aNew)
-{
-  const auto differs = [](const std::map<std::string, double>& aLeft,
-                          const std::map<std::string, double>& aRight) {
-    return std::any_of(aLeft.begin(), aLeft.end(), [&](const auto& aEntry) {
-      const auto found = aRight.find(aEntry.first);
-      const double other = found == aRight.end() ? 0 : found->second;
-      const double step = std::max(
-        kLeastDemandChange, kDemandChange * std::max(aEntry.second, other));
-      return std::abs(aEntry.second - other) > step;
-    });
-  };
-  return differs(aOld, aNew) || differs(aNew, aOld);
-}
 
 }
 
@@ -182,7 +162,6 @@
 Gateway::Impl::MakeFlowOptions()
 {
   FlowOptions options;
-  options.name_ = settings_.name_;
   options.region_ = settings_.region_;
   options.headers_ = adapter_.headers_;
   options.viewAge_ = [this](TimePoint aNow) { return ViewAge(aNow); };
--- a/src/gateway/InstanceTable.cc
+++ b/src/gateway/InstanceTable.cc
@@ -43,11 +43,6 @@
                  const InstanceHealthOptions& aOptions)
 {
   const bool failed = aSignal != InstanceSignal::Success;
-  if (aSignal == InstanceSignal::Unreachable) {
-    ++unreachable_;
-  } else {
-    unreachable_ = 0;
-  }
   failureRate_ += aOptions.weight_ * ((failed ? 1.0 : 0.0) - failureRate_);
   if (!failed) {
     if (failureRate_ < aOptions.rateAtReturn_ / 2) {
@@ -55,7 +50,7 @@
     }
     return;
   }
-  const bool unreachable = unreachable_ >= aOptions.unreachableLimit_;
+  const bool unreachable = aSignal == InstanceSignal::Unreachable;
   if (!IsPaused(aNow) &&
       (unreachable || failureRate_ > aOptions.failureLimit_)) {
     Pause(aNow, aOptions);
--- a/src/gateway/InstanceTable.h
+++ b/src/gateway/InstanceTable.h
@@ -26,7 +26,7 @@
   Shed,
   // The server ran the request and failed, or sent a broken answer.
   Failure,
-  // The connection could not be opened.
+  // The connection could not be opened; the server is left out at once.
   Unreachable,
   // The connection ended or went silent during the request.
   ConnectionLost,
@@ -43,8 +43,6 @@
   // The pause doubles with each failed return.
   Duration firstPause_ = std::chrono::milliseconds(1000);
   Duration longestPause_ = std::chrono::seconds(8);
-  // Failed connection attempts in a row that lead to a pause.
-  int unreachableLimit_ = 1;
 };
 
 class Instance
@@ -66,8 +64,6 @@
 
   // The requests of this host at the server and its queue.
   QueueEstimate queue_;
-  // Open connections of this host, idle ones included.
-  int connections_ = 0;
 
 private:
   friend class InstanceTable;
@@ -81,7 +77,6 @@
   TimePoint pausedUntil_ = TimePoint::min();
   Duration pause_{};
   double failureRate_ = 0;
-  int unreachable_ = 0;
   // False once the registration is gone.
   bool registered_ = true;
   bool evacuated_ = false;
--- a/src/gateway/QueueEstimate.h
+++ b/src/gateway/QueueEstimate.h
@@ -67,7 +67,6 @@
   // A recent report shows at most half of the slots in use: the server has room
   // for objects that are not its own.
   bool IsHalfFree(TimePoint aNow) const;
-  const ReportedLoad& LastReport() const { return load_; }
   Duration RunTime() const { return FromSeconds(runSeconds_); }
 
 private:
--- a/src/gateway/RoutingTable.h
+++ b/src/gateway/RoutingTable.h
@@ -123,10 +123,6 @@
   {
     return parts_.customers_;
   }
-  const std::vector<GatewayService>& Services() const
-  {
-    return parts_.services_;
-  }
 
 private:
   RoutingTableParts parts_;
--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -27,12 +27,6 @@
   : socket_(aContext)
   , instance_(std::move(aInstance))
 {
-  ++instance_->connections_;
-}
-
-ServerConnection::~ServerConnection()
-{
-  --instance_->connections_;
 }
 
 void
--- a/src/gateway/ServerConnections.h
+++ b/src/gateway/ServerConnections.h
@@ -26,12 +26,11 @@
   Duration silenceLimit_ = std::chrono::milliseconds(1200);
 };
 
-// One connection. Counts itself with its server while it lives.
+// One connection.
 class ServerConnection
 {
 public:
   ServerConnection(asio::io_context& aContext, InstancePtr aInstance);
-  ~ServerConnection();
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -257,8 +257,9 @@
 {
   const int status = static_cast<int>(aMessage.result_int());
   const bool signedAnswer = !Field(aMessage, headers_.signature_).empty();
-  result_.misdirected_ = status == kMisdirected;
-  if (result_.misdirected_ || !Field(aMessage, headers_.notExecuted_).empty()) {
+  // With 421 another server has the address.
+  if (status == kMisdirected ||
+      !Field(aMessage, headers_.notExecuted_).empty()) {
     KeepConnection(aMessage);
     Finish(ExchangeOutcome::NotRun,
            "status " + std::to_string(status) + ", not executed");
--- a/src/gateway/ServerExchange.h
+++ b/src/gateway/ServerExchange.h
@@ -45,8 +45,6 @@
   ServerAnswer answer_;
   // The connection could not be opened.
   bool unreachable_ = false;
-  // Another server has the address.
-  bool misdirected_ = false;
   // What was seen, for the log.
   std::string reason_;
 };
