--- /dev/null
+++ b/src/gateway/testing/CustomerAllowancesTest.cc
@@ -0,0 +1,182 @@
+#include "gateway/CustomerAllowances.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace peridotsail;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+
+TimePoint
+At(double aSeconds)
+{
+  return TimePoint() + FromSeconds(aSeconds + 1000);
+}
+
+RoutingTablePtr
+MakeTable(double aRate, double aBurst)
+{
+  RoutingTableParts parts;
+  GatewayCustomer customer;
+  customer.name_ = "school";
+  customer.ratePerSecond_ = aRate;
+  customer.burst_ = aBurst;
+  parts.customers_.push_back(customer);
+  return std::make_shared<const RoutingTable>(parts);
+}
+
+// Hosts that publish their demand each second and read that of the others a
+// moment later.
+struct AllowanceFleet
+{
+  explicit AllowanceFleet(int aHosts)
+  {
+    for (int i = 0; i < aHosts; ++i) {
+      Join();
+    }
+  }
+
+  static AllowanceOptions Options()
+  {
+    AllowanceOptions options;
+    options.slack_ = 20;
+    return options;
+  }
+
+  void Join()
+  {
+    const std::string name = "h" + std::to_string(allowances_.size());
+    allowances_.emplace_back(Options());
+    records_[name] = HostRecord();
+  }
+
+  void Step(const RoutingTable& aTable, double aNow, bool aPublish)
+  {
+    if (aPublish) {
+      for (std::size_t i = 0; i < allowances_.size(); ++i) {
+        records_["h" + std::to_string(i)].demand_ =
+          allowances_[i].MeasureDemand(At(aNow));
+      }
+    }
+    for (std::size_t i = 0; i < allowances_.size(); ++i) {
+      allowances_[i].Apply(aTable, records_, "h" + std::to_string(i), At(aNow));
+    }
+  }
+
+  std::vector<CustomerAllowances> allowances_;
+  std::map<std::string, HostRecord> records_;
+};
+
+}
+
+// Guards against a customer that gets more than its rate and burst when its
+// callers move between hosts, when a host restarts and when hosts are added.
+TEST_CASE("No window has more than rate and burst over all hosts")
+{
+  struct Row
+  {
+    const char* name_;
+    // The host that gets a request at a time.
+    std::function<std::size_t(double, std::size_t, std::mt19937_64&)> host_;
+    bool restarts_;
+    bool joins_;
+  };
+  const auto spread = [](double, std::size_t aHosts, std::mt19937_64& aRandom) {
+    return std::uniform_int_distribution<std::size_t>(0, aHosts - 1)(aRandom);
+  };
+  const Row rows[] = {
+    { "spread", spread, false, false },
+    { "one host",
+      [](double, std::size_t, std::mt19937_64&) { return std::size_t{ 0 }; },
+      false,
+      false },
+    // All callers move to another region's hosts, as when a school opens.
+    { "moving between regions",
+      [](double aNow, std::size_t, std::mt19937_64& aRandom) {
+        constexpr double kStay = 7;
+        const std::size_t region = static_cast<std::size_t>(aNow / kStay) % 3;
+        const std::size_t first = region == 0 ? 0 : 1 + 2 * region;
+        const std::size_t last = region == 0 ? 2 : first + 1;
+        return std::uniform_int_distribution<std::size_t>(first, last)(aRandom);
+      },
+      false,
+      false },
+    { "restarts", spread, true, false },
+    { "hosts are added", spread, false, true },
+  };
+  constexpr double kRate = 40;
+  constexpr double kBurst = 40;
+  constexpr double kWindow = 5;
+  const RoutingTablePtr table = MakeTable(kRate, kBurst);
+  const GatewayCustomer& customer = table->Customers().front();
+  for (const Row& row : rows) {
+    INFO(row.name_ << " seed " << kSeed);
+    std::mt19937_64 random(kSeed);
+    AllowanceFleet fleet(7);
+    std::vector<double> admitted;
+    int step = 0;
+    for (double now = 0; now < 40; now += 0.002, ++step) {
+      if (step % 100 == 0) {
+        fleet.Step(*table, now, step % 500 == 0);
+      }
+      if (row.restarts_ && step % 2500 == 2000) {
+        for (CustomerAllowances& one : fleet.allowances_) {
+          one = CustomerAllowances(AllowanceFleet::Options());
+        }
+        fleet.Step(*table, now, false);
+      }
+      if (row.joins_ && step == 10000) {
+        for (int i = 0; i < 3; ++i) {
+          fleet.Join();
+        }
+        fleet.Step(*table, now, false);
+      }
+      const std::size_t host = row.host_(now, fleet.allowances_.size(), random);
+      if (fleet.allowances_[host].TryTake(customer, At(now)).admitted_) {
+        admitted.push_back(now);
+      }
+    }
+    CHECK(static_cast<double>(admitted.size()) > kRate * 40 / 4);
+    const double bound = (kRate * kWindow + kBurst) * 1.1 + 20;
+    std::size_t end = 0;
+    for (std::size_t begin = 0; begin < admitted.size(); ++begin) {
+      while (end < admitted.size() &&
+             admitted[end] < admitted[begin] + kWindow) {
+        ++end;
+      }
+      REQUIRE(static_cast<double>(end - begin) <= bound);
+    }
+  }
+}
+
+// Guards against refusals below the rate while callers are spread.
+TEST_CASE("At four fifths of the rate nearly nothing is refused")
+{
+  const RoutingTablePtr table = MakeTable(140, 140);
+  const GatewayCustomer& customer = table->Customers().front();
+  std::mt19937_64 random(kSeed);
+  AllowanceFleet fleet(7);
+  // Three hosts get twice as much as the others.
+  std::discrete_distribution<std::size_t> anyHost({ 2, 2, 2, 1, 1, 1, 1 });
+  int asked = 0;
+  int refused = 0;
+  int step = 0;
+  std::exponential_distribution<double> gap(112);
+  double nextStep = 0;
+  for (double now = 0; now < 30; now += gap(random)) {
+    while (now >= nextStep) {
+      fleet.Step(*table, nextStep, step++ % 5 == 0);
+      nextStep += 0.2;
+    }
+    const bool ok =
+      fleet.allowances_[anyHost(random)].TryTake(customer, At(now)).admitted_;
+    if (now > 5) {
+      ++asked;
+      refused += ok ? 0 : 1;
+    }
+  }
+  INFO("asked " << asked << " refused " << refused << " seed " << kSeed);
+  CHECK(refused <= asked / 50);
+}
