Admit an order at its slot's holder when the pool is in another region

Cause: a host that does not hold an order's slot relays it to the holder. The holder admitted relayed requests by the free slots of the pool in its own region. Without a server of the pool there it has none, so every such order was refused with region-full before its claim was looked at.

Ruled out: the claim itself, the second relay and the shift cap; the refusals' bodies all named the region's capacity, and orders that entered at the holder were relayed on and served.

Change: a holder without servers of the pool skips this check. It sends the order on, and the region that runs it decides whether it has room. The shift cap for the answer still applies.

--- a/src/app/SteeringWiring.cc
+++ b/src/app/SteeringWiring.cc
@@ -270,8 +270,14 @@
   if (!ticket) {
     admission.refusal_ = ErrorKind::ShiftCapReached;
   } else {
-    const int free = backends_.FreeSlots(aQuery.route_->pool_);
-    admission.refusal_ = steering_->Admission().AdmitRelayed(free, now);
+    // A holder without servers of the pool sends the request on, and the region
+    // that runs it decides whether it has room.
+    const std::string& pool = aQuery.route_->pool_;
+    const bool sentOn = aQuery.forHolder_ && !backends_.HasServer(pool);
+    if (!sentOn) {
+      admission.refusal_ =
+        steering_->Admission().AdmitRelayed(backends_.FreeSlots(pool), now);
+    }
     admission.allowance_ =
       std::make_shared<RelayAllowance>(steering_, std::move(*ticket));
     if (!admission.refusal_) {
--- a/src/proxy/RequestPipeline.h
+++ b/src/proxy/RequestPipeline.h
@@ -47,6 +47,8 @@
   // Names of the backend servers that were tried for this request.
   std::set<std::string> tried_;
   bool relayed_ = false;
+  // Relayed to this host because it holds the request's slot.
+  bool forHolder_ = false;
   // The last attempt was shed by a backend server.
   bool shed_ = false;
   // Identifies equal requests, for the quarantine.
--- a/src/proxy/RequestRun.cc
+++ b/src/proxy/RequestRun.cc
@@ -63,6 +63,7 @@
   query_.configuration_ = pipeline_->hooks_.configuration_();
   query_.customer_ = aRelayed.customer_;
   query_.relayed_ = true;
+  query_.forHolder_ = aRelayed.once_;
   query_.deadline_ = aRelayed.deadline_;
   if (query_.configuration_ == nullptr) {
     Refuse(MakeRefusal(ErrorKind::ConfigurationMissing));
