Keep allowances whole after a restart of all hosts

Cause: a new process registers without demand, and the others took that for no demand. After the loss of all processes the first hosts to publish took nearly the whole share, and each other host then held its lowest share of two seconds.

Change: a host that has not measured counts as the mean of those that have, and demand is measured from the first configuration on. A request that ends with 503 gives back what it took, since it did not run.

--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace peridotsail {
 
@@ -55,20 +56,28 @@
   const double hosts =
     static_cast<double>(aHosts.size() + (aHosts.count(aSelf) == 0 ? 1 : 0));
   double all = 0;
-  double own = 0;
+  double known = 0;
+  std::optional<double> own;
   for (const auto& [name, host] : aHosts) {
+    if (!host.demandKnown_) {
+      continue;
+    }
     const auto found = host.demand_.find(aCustomer);
     // Demand above the whole rate cannot be met and must not starve the others.
     const double demand =
       found == host.demand_.end() ? 0 : std::min(found->second, aRate);
     all += demand;
+    ++known;
     if (name == aSelf) {
       own = demand;
     }
   }
+  // Hosts that have not measured yet count as the mean of the others.
+  const double mean = known > 0 ? all / known : 0;
+  all += (hosts - known) * mean;
   const double assumed =
     std::max(kLeastDemand, options_.assumedDemand_ * aRate / hosts);
-  const double byDemand = (own + assumed) / (all + hosts * assumed);
+  const double byDemand = (own.value_or(mean) + assumed) / (all + hosts * assumed);
   return options_.equalPart_ / hosts + (1 - options_.equalPart_) * byDemand;
 }
 
@@ -78,6 +87,10 @@
                           const std::string& aSelf,
                           TimePoint aNow)
 {
+  // Demand is counted from here on.
+  if (measuredAt_ == TimePoint::min()) {
+    measuredAt_ = aNow;
+  }
   for (const GatewayCustomer& customer : aTable.Customers()) {
     auto [it, added] = accounts_.try_emplace(customer.name_, aNow);
     Account& account = it->second;
@@ -137,6 +150,15 @@
   return { false, account.bucket_.WaitFor(1), account.bucket_.Rate() };
 }
 
+void
+CustomerAllowances::Return(const GatewayCustomer& aCustomer, TimePoint aNow)
+{
+  const auto found = accounts_.find(aCustomer.name_);
+  if (aCustomer.ratePerSecond_ > 0 && found != accounts_.end()) {
+    found->second.bucket_.Put(1, aNow);
+  }
+}
+
 std::map<std::string, double>
 CustomerAllowances::MeasureDemand(TimePoint aNow)
 {
--- a/src/gateway/CustomerAllowances.h
+++ b/src/gateway/CustomerAllowances.h
@@ -89,6 +89,8 @@
              const std::string& aSelf,
              TimePoint aNow);
   Admission TryTake(const GatewayCustomer& aCustomer, TimePoint aNow);
+  // Gives back what an admitted request took that did not run.
+  void Return(const GatewayCustomer& aCustomer, TimePoint aNow);
   // Requests a second of each customer at this host, refused ones included.
   // Call once a second.
   std::map<std::string, double> MeasureDemand(TimePoint aNow);
--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -9,11 +9,14 @@
 std::string
 EncodeHostRecord(const HostRecord& aHost)
 {
-  const json record{
+  json record{
     { "callers", aHost.callers_ }, { "failure_domain", aHost.failureDomain_ },
     { "region", aHost.region_ },   { "draining", aHost.draining_ },
-    { "demand", aHost.demand_ },   { "quarantined", aHost.quarantined_ }
+    { "quarantined", aHost.quarantined_ }
   };
+  if (aHost.demandKnown_) {
+    record["demand"] = aHost.demand_;
+  }
   return record.dump();
 }
 
@@ -28,7 +31,10 @@
     host.failureDomain_ = record.at("failure_domain").get<std::string>();
     host.region_ = record.at("region").get<std::string>();
     host.draining_ = record.at("draining").get<bool>();
-    host.demand_ = record.at("demand").get<std::map<std::string, double>>();
+    host.demandKnown_ = record.contains("demand");
+    if (host.demandKnown_) {
+      host.demand_ = record.at("demand").get<std::map<std::string, double>>();
+    }
     host.quarantined_ =
       record.at("quarantined").get<std::vector<std::string>>();
     return host;
--- a/src/gateway/FleetTypes.h
+++ b/src/gateway/FleetTypes.h
@@ -43,6 +43,8 @@
   bool draining_ = false;
   // Requests a second that callers of each customer send to this host.
   std::map<std::string, double> demand_;
+  // The host has measured its demand; false soon after its start.
+  bool demandKnown_ = false;
   // Fingerprints of requests that this host refuses because they crash backend
   // servers.
   std::vector<std::string> quarantined_;
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -315,6 +315,7 @@
     const TimePoint now = BootClock::now();
     flow_.connections_.CloseExpired(now);
     UpdateDemand(self_.demand_, flow_.allowances_.MeasureDemand(now));
+    self_.demandKnown_ = flow_.table_ != nullptr;
     self_.quarantined_ = flow_.quarantine_.Refused(now);
     droppedLines_.Set(static_cast<double>(DroppedLogLines()));
     PublishSelf();
@@ -328,6 +329,7 @@
   self_.draining_ = draining_.load();
   const bool changed = self_.draining_ != published_.draining_ ||
                        self_.quarantined_ != published_.quarantined_ ||
+                       self_.demandKnown_ != published_.demandKnown_ ||
                        self_.demand_ != published_.demand_;
   if (!changed) {
     return;
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -187,6 +187,7 @@
                { "version", table_->Version() } });
     Refuse(429, "allowance-used-up", admission.retryAfter_);
   }
+  charged_ = admission.admitted_;
   return admission.admitted_;
 }
 
@@ -547,7 +548,12 @@
     flow_.quarantine_.Ended(fingerprint_);
     exchange_.reset();
   }
-  const Duration elapsed = BootClock::now() - caller_->Request().arrivedAt_;
+  const TimePoint now = BootClock::now();
+  // A request that did not run takes nothing from its customer.
+  if (charged_ && aAnswer.status_ == 503) {
+    flow_.allowances_.Return(*customer_, now);
+  }
+  const Duration elapsed = now - caller_->Request().arrivedAt_;
   flow_.metrics_.latency_.Observe(elapsed);
   flow_.metrics_.all_
     .Counter("peridotsail_answers_total",
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -57,6 +57,8 @@
   RoutingTablePtr table_;
   const GatewayRoute* route_ = nullptr;
   const GatewayCustomer* customer_ = nullptr;
+  // The request took its part of the customer's allowance.
+  bool charged_ = false;
   std::string requestId_;
   std::string service_;
   std::string fingerprint_;
--- a/src/gateway/testing/CustomerAllowancesTest.cc
+++ b/src/gateway/testing/CustomerAllowancesTest.cc
@@ -1,5 +1,6 @@
 #include "gateway/CustomerAllowances.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -53,13 +54,26 @@
     records_[name] = HostRecord();
   }
 
+  void Publish(std::size_t aHost, double aNow)
+  {
+    HostRecord& record = records_["h" + std::to_string(aHost)];
+    UpdateDemand(record.demand_, allowances_[aHost].MeasureDemand(At(aNow)));
+    record.demandKnown_ = true;
+  }
+
+  // New processes, which register before they have measured anything.
+  void RestartAll()
+  {
+    for (std::size_t i = 0; i < allowances_.size(); ++i) {
+      allowances_[i] = CustomerAllowances(Options());
+      records_["h" + std::to_string(i)] = HostRecord();
+    }
+  }
+
   void Step(const RoutingTable& aTable, double aNow, bool aPublish)
   {
-    if (aPublish) {
-      for (std::size_t i = 0; i < allowances_.size(); ++i) {
-        UpdateDemand(records_["h" + std::to_string(i)].demand_,
-                     allowances_[i].MeasureDemand(At(aNow)));
-      }
+    for (std::size_t i = 0; aPublish && i < allowances_.size(); ++i) {
+      Publish(i, aNow);
     }
     for (std::size_t i = 0; i < allowances_.size(); ++i) {
       allowances_[i].Apply(aTable, records_, "h" + std::to_string(i), At(aNow));
@@ -214,3 +228,67 @@
   INFO("asked " << asked << " refused " << refused << " seed " << kSeed);
   CHECK(refused <= asked / 10);
 }
+
+// Guards the time after a restart of all hosts: when the first hosts have
+// published their demand and the others have not, the shares of the others must
+// not fall, since each host holds its lowest share of the last seconds.
+TEST_CASE("Allowances are whole again soon after all hosts restart")
+{
+  constexpr double kRate = 340;
+  constexpr double kBurst = 340;
+  constexpr double kWindow = 5;
+  constexpr double kLimit = kRate * kWindow + kBurst;
+  constexpr double kRestart = 20;
+  // How long a host is away, and its first measurement of demand.
+  constexpr double kAway = 0.5;
+  constexpr double kMeasure = 1.0;
+  const RoutingTablePtr table = MakeTable(kRate, kBurst);
+  const GatewayCustomer& customer = table->Customers().front();
+  std::mt19937_64 random(kSeed);
+  std::uniform_int_distribution<std::size_t> anyHost(0, 6);
+  // Twice the limit.
+  std::exponential_distribution<double> gap(2 * kLimit / kWindow);
+  AllowanceFleet fleet(7);
+  std::vector<double> admitted;
+  double nextStep = 0;
+  bool restarted = false;
+  int step = 0;
+  for (double now = 0; now < kRestart + 8; now += gap(random)) {
+    const bool away = now >= kRestart && now < kRestart + kAway;
+    if (away && !restarted) {
+      restarted = true;
+      fleet.RestartAll();
+    }
+    while (now >= nextStep) {
+      const double since = nextStep - kRestart - kAway;
+      for (std::size_t i = 0; i < fleet.allowances_.size(); ++i) {
+        // Hosts measure each second, one after another.
+        const bool due = step % 5 == static_cast<int>(i % 5);
+        if (due && (nextStep < kRestart || since >= kMeasure)) {
+          fleet.Publish(i, nextStep);
+        }
+      }
+      if (!away) {
+        fleet.Step(*table, nextStep, false);
+      }
+      ++step;
+      nextStep += 0.2;
+    }
+    const std::size_t host = anyHost(random);
+    if (!away && fleet.allowances_[host].TryTake(customer, At(now)).admitted_) {
+      admitted.push_back(now);
+    }
+  }
+  const auto between = [&](double aFrom, double aUntil) {
+    return static_cast<double>(
+      std::lower_bound(admitted.begin(), admitted.end(), aUntil) -
+      std::lower_bound(admitted.begin(), admitted.end(), aFrom));
+  };
+  const double back = kRestart + kAway;
+  INFO("seed " << kSeed << ", admitted after the restart "
+               << between(back, back + kWindow) << " of " << kLimit);
+  CHECK(between(back, back + kWindow) >= 0.85 * kLimit);
+  for (double from = 0; from < kRestart + 3; from += 0.05) {
+    REQUIRE(between(from, from + kWindow) <= 1.1 * kLimit + 20);
+  }
+}
