Leave out at most three tenths of a service's servers for failures

Besides, requests that a server shed without a report of its load still counted as waiting there, and others were refused as service-full.

Ruled out: the retry budget, which was used up as it must be, and the allowances (4 refusals in 7 seconds).

Change: InstanceTable::Learn limits the servers that are left out for failures, as outlier ejection commonly does; servers that cannot be reached are left out as before. Requests sent since the last report count only while they are in flight.

--- a/src/gateway/InstanceTable.cc
+++ b/src/gateway/InstanceTable.cc
@@ -37,24 +37,16 @@
              { "seconds", ToSeconds(pause_) } });
 }
 
-void
-Instance::Signal(InstanceSignal aSignal,
-                 TimePoint aNow,
-                 const InstanceHealthOptions& aOptions)
+bool
+Instance::Count(InstanceSignal aSignal, const InstanceHealthOptions& aOptions)
 {
   const bool failed = aSignal != InstanceSignal::Success;
   failureRate_ += aOptions.weight_ * ((failed ? 1.0 : 0.0) - failureRate_);
-  if (!failed) {
-    if (failureRate_ < aOptions.rateAtReturn_ / 2) {
-      pause_ = Duration::zero();
-    }
-    return;
-  }
-  const bool unreachable = aSignal == InstanceSignal::Unreachable;
-  if (!IsPaused(aNow) &&
-      (unreachable || failureRate_ > aOptions.failureLimit_)) {
-    Pause(aNow, aOptions);
+  if (!failed && failureRate_ < aOptions.rateAtReturn_ / 2) {
+    pause_ = Duration::zero();
   }
+  return failed && (aSignal == InstanceSignal::Unreachable ||
+                    failureRate_ > aOptions.failureLimit_);
 }
 
 InstanceTable::InstanceTable(std::map<std::string, std::string> aRegions,
@@ -148,6 +140,29 @@
   }
 }
 
+void
+InstanceTable::Learn(Instance& aInstance,
+                     InstanceSignal aSignal,
+                     TimePoint aNow,
+                     const InstanceHealthOptions& aOptions) const
+{
+  if (!aInstance.Count(aSignal, aOptions) || aInstance.IsPaused(aNow)) {
+    return;
+  }
+  const std::vector<InstancePtr>& others =
+    OfService(aInstance.record_.service_);
+  const auto leftOut =
+    std::count_if(others.begin(), others.end(), [&](const InstancePtr& aOther) {
+      return aOther->IsPaused(aNow);
+    });
+  const double most =
+    aOptions.mostLeftOut_ * static_cast<double>(others.size());
+  if (aSignal == InstanceSignal::Unreachable ||
+      static_cast<double>(leftOut) + 1 <= std::max(1.0, most)) {
+    aInstance.Pause(aNow, aOptions);
+  }
+}
+
 double
 InstanceTable::RemoteWeight(const std::string& aService) const
 {
--- a/src/gateway/InstanceTable.h
+++ b/src/gateway/InstanceTable.h
@@ -43,6 +43,11 @@
   // The pause doubles with each failed return.
   Duration firstPause_ = std::chrono::milliseconds(1000);
   Duration longestPause_ = std::chrono::seconds(8);
+  // No more than this part of a service's servers is left out for failures, a
+  // common limit of outlier ejection: where most fail, the others would take
+  // their load as well and run their objects cold. Servers that cannot be
+  // reached are left out without this limit.
+  double mostLeftOut_ = 0.3;
 };
 
 class Instance
@@ -58,9 +63,6 @@
   // Left out because of failures.
   bool IsPaused(TimePoint aNow) const { return aNow < pausedUntil_; }
   bool IsUsable(TimePoint aNow) const;
-  void Signal(InstanceSignal aSignal,
-              TimePoint aNow,
-              const InstanceHealthOptions& aOptions);
 
   // The requests of this host at the server and its queue.
   QueueEstimate queue_;
@@ -68,6 +70,8 @@
 private:
   friend class InstanceTable;
 
+  // Counts an outcome; whether the server should be left out for it.
+  bool Count(InstanceSignal aSignal, const InstanceHealthOptions& aOptions);
   void Pause(TimePoint aNow, const InstanceHealthOptions& aOptions);
 
   InstanceRecord record_;
@@ -95,6 +99,11 @@
   // again, but stay alive while requests refer to them.
   void Apply(const FleetSnapshot& aSnapshot);
   const std::vector<InstancePtr>& OfService(const std::string& aService) const;
+  // Learns from the outcome of a request at a server.
+  void Learn(Instance& aInstance,
+             InstanceSignal aSignal,
+             TimePoint aNow,
+             const InstanceHealthOptions& aOptions) const;
   // The weight of a slot in another region for the service's requests.
   double RemoteWeight(const std::string& aService) const;
 
--- a/src/gateway/QueueEstimate.cc
+++ b/src/gateway/QueueEstimate.cc
@@ -38,11 +38,17 @@
   double reported = 0;
   if (load_.at_ != TimePoint::min() &&
       aNow - load_.at_ < options_.reportLifetime_) {
-    reported = load_.running_ + load_.waiting_ + sentSinceReport_ + 1 - slots_;
+    reported = load_.running_ + load_.waiting_ + SentSinceReport() + 1 - slots_;
   }
   return std::max({ 0.0, own, reported });
 }
 
+int
+QueueEstimate::SentSinceReport() const
+{
+  return std::min(sentSinceReport_, inFlight_);
+}
+
 void
 QueueEstimate::RecordRun(Duration aElapsed, double aWaiting, TimePoint aNow)
 {
@@ -69,7 +75,7 @@
 {
   const bool recent = load_.at_ != TimePoint::min() &&
                       aNow - load_.at_ < options_.reportLifetime_;
-  const int present = load_.running_ + load_.waiting_ + sentSinceReport_;
+  const int present = load_.running_ + load_.waiting_ + SentSinceReport();
   return recent && HasFreeSlot(aNow) && 2 * present <= slots_;
 }
 
--- a/src/gateway/QueueEstimate.h
+++ b/src/gateway/QueueEstimate.h
@@ -70,6 +70,10 @@
   Duration RunTime() const { return FromSeconds(runSeconds_); }
 
 private:
+  // Requests that the last report does not count: those sent since that have
+  // not ended. One that was shed without a report is not there any more.
+  int SentSinceReport() const;
+
   int slots_;
   double sharers_ = 1;
   QueueEstimateOptions options_;
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -392,7 +392,7 @@
              aResult.answer_.status_ / 100 == 5) {
     signal = InstanceSignal::Failure;
   }
-  aInstance->Signal(signal, now, flow_.options_.health_);
+  flow_.instances_.Learn(*aInstance, signal, now, flow_.options_.health_);
   if (aResult.outcome_ == ExchangeOutcome::Answered) {
     flow_.quarantine_.Completed(fingerprint_, now);
   } else if (signal == InstanceSignal::ConnectionLost) {
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -271,7 +271,7 @@
   snapshot.instances_["a0"] = MakeRecord("a0", "a");
   table.Apply(snapshot);
   const InstancePtr old = table.OfService("s").front();
-  old->Signal(InstanceSignal::Unreachable, At(0), {});
+  table.Learn(*old, InstanceSignal::Unreachable, At(0), {});
   CHECK(old->IsPaused(At(0.1)));
   snapshot.instances_["a0"].born_ = 5;
   table.Apply(snapshot);
