Weigh slots in other regions by the way and the route's target

A slot in another region weighed an eighth on every site, so each region kept nearly all objects on its own third of the servers: 13 to 26 distinct objects a server in two seconds where one keeps 24 warm.

Ruled out: single objects that move from busy to light servers.

Change: RegionWays measures the round trip by the shortest time to open a connection; WeightOfWay halves the weight with each 7 hundredths of the route's target (targetLatency_, unused so far) that the way takes: about 0.37 for 40 ms of 400, 0.07 for 110 ms.

--- a/src/gateway/FlowContext.cc
+++ b/src/gateway/FlowContext.cc
@@ -33,11 +33,16 @@
   , loanChannel_(aContext,
                  loans_,
                  [this] { return table_ ? table_->Version() : 0; })
+  , ways_(options_.region_)
   , coldStarts_(aColdStart)
   , retries_(aRetries)
   , metrics_(aMetrics)
   , random_(std::random_device()())
 {
+  connections_.SetOnConnected(
+    [this](const Instance& aInstance, Duration aElapsed) {
+      ways_.Measured(aInstance.Region(), aElapsed);
+    });
 }
 
 void
--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -11,6 +11,7 @@
 #include "gateway/FleetRetryBudget.h"
 #include "gateway/InstanceChooser.h"
 #include "gateway/LoanChannel.h"
+#include "gateway/RegionWays.h"
 #include "gateway/ServerExchange.h"
 
 #include <functional>
@@ -72,6 +73,7 @@
   CustomerAllowances allowances_;
   AllowanceLoans loans_;
   LoanChannel loanChannel_;
+  RegionWays ways_;
   ColdStartLimit coldStarts_;
   FleetRetryBudget retries_;
   Quarantine quarantine_;
--- a/src/gateway/InstanceTable.cc
+++ b/src/gateway/InstanceTable.cc
@@ -2,7 +2,6 @@
 
 #include "base/EventLog.h"
 #include "base/Hash.h"
-#include "gateway/RegionShare.h"
 
 #include <algorithm>
 #include <functional>
@@ -89,7 +88,7 @@
       local ? std::max<double>(1, static_cast<double>(hostsHere)) : 1);
     byService_[instance->record_.service_].push_back(instance);
   }
-  WeighRegions();
+  CountSlots();
 }
 
 void
@@ -122,9 +121,9 @@
 // Only what the store says counts, so that all hosts of a region come to the
 // same weights; what this host found out itself does not.
 void
-InstanceTable::WeighRegions()
+InstanceTable::CountSlots()
 {
-  remoteWeights_.clear();
+  rooms_.clear();
   for (const auto& [service, instances] : byService_) {
     RegionRoom room;
     room.regions_ = regionCount_;
@@ -136,7 +135,7 @@
       room.allSlots_ += slots;
       room.localSlots_ += instance->region_ == region_ ? slots : 0;
     }
-    remoteWeights_[service] = RemoteSlotWeight(room);
+    rooms_[service] = room;
   }
 }
 
@@ -163,11 +162,11 @@
   }
 }
 
-double
-InstanceTable::RemoteWeight(const std::string& aService) const
+RegionRoom
+InstanceTable::Room(const std::string& aService) const
 {
-  const auto found = remoteWeights_.find(aService);
-  return found == remoteWeights_.end() ? 1 : found->second;
+  const auto found = rooms_.find(aService);
+  return found == rooms_.end() ? RegionRoom() : found->second;
 }
 
 const std::vector<InstancePtr>&
--- a/src/gateway/InstanceTable.h
+++ b/src/gateway/InstanceTable.h
@@ -10,6 +10,7 @@
 #include "base/BootClock.h"
 #include "gateway/FleetTypes.h"
 #include "gateway/QueueEstimate.h"
+#include "gateway/RegionShare.h"
 
 #include <map>
 #include <memory>
@@ -104,11 +105,11 @@
              InstanceSignal aSignal,
              TimePoint aNow,
              const InstanceHealthOptions& aOptions) const;
-  // The weight of a slot in another region for the service's requests.
-  double RemoteWeight(const std::string& aService) const;
+  // The slots of the service here and in all regions.
+  RegionRoom Room(const std::string& aService) const;
 
 private:
-  void WeighRegions();
+  void CountSlots();
   void ApplyRecord(const InstanceRecord& aRecord,
                    TimePoint aReadAt,
                    const FleetSnapshot& aSnapshot);
@@ -117,7 +118,7 @@
   std::string region_;
   std::map<std::string, InstancePtr> instances_;
   std::map<std::string, std::vector<InstancePtr>> byService_;
-  std::map<std::string, double> remoteWeights_;
+  std::map<std::string, RegionRoom> rooms_;
   std::size_t regionCount_ = 1;
 };
 
--- a/src/gateway/RegionShare.cc
+++ b/src/gateway/RegionShare.cc
@@ -1,9 +1,30 @@
 #include "gateway/RegionShare.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridotsail {
 
+namespace {
+
+// The weight halves with each such part of the target that the way takes.
+constexpr double kHalvingPart = 0.07;
+// Some objects go elsewhere whatever the way, so that the hosts know the
+// servers there when their region loses its own.
+constexpr double kLeastWeight = 0.05;
+
+}
+
+double
+WeightOfWay(Duration aWay, Duration aTarget)
+{
+  if (aTarget <= Duration::zero()) {
+    return kLeastWeight;
+  }
+  const double part = ToSeconds(aWay) / ToSeconds(aTarget);
+  return std::clamp(std::exp2(-part / kHalvingPart), kLeastWeight, 1.0);
+}
+
 double
 RemoteSlotWeight(const RegionRoom& aRoom, const RegionShareOptions& aOptions)
 {
--- a/src/gateway/RegionShare.h
+++ b/src/gateway/RegionShare.h
@@ -7,7 +7,16 @@
 // were evacuated or lost, sends a part of its objects to the others: all hosts
 // of the region compute the same part from the registrations.
 //
-//   const double weight = RemoteSlotWeight({ localSlots, allSlots, regions });
+// While there is room, the way decides: where it is short against the time in
+// which callers want their answers, more objects go to other regions, so that
+// each server has fewer of them and keeps them warm.
+//
+//   RegionShareOptions options;
+//   options.leastWeight_ = WeightOfWay(way, target);
+//   const double weight =
+//     RemoteSlotWeight({ localSlots, allSlots, regions }, options);
+
+#include "base/BootClock.h"
 
 #include <cstddef>
 
@@ -31,6 +40,11 @@
   double homePreference_ = 1.2;
 };
 
+// The weight that the way to another region (one round trip) leaves to a slot
+// there, when callers want their answers within aTarget; from 1 down to 0.05.
+double
+WeightOfWay(Duration aWay, Duration aTarget);
+
 // The weight of a slot in another region against one in this region.
 double
 RemoteSlotWeight(const RegionRoom& aRoom,
--- /dev/null
+++ b/src/gateway/RegionWays.cc
@@ -0,0 +1,46 @@
+#include "gateway/RegionWays.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotsail {
+
+namespace {
+
+// Larger than the differences between the failure domains of a region.
+constexpr Duration kStep = std::chrono::milliseconds(10);
+
+}
+
+RegionWays::RegionWays(std::string aOwnRegion)
+  : ownRegion_(std::move(aOwnRegion))
+{
+}
+
+void
+RegionWays::Measured(const std::string& aRegion, Duration aRoundTrip)
+{
+  if (aRegion == ownRegion_) {
+    return;
+  }
+  const auto [it, added] = shortest_.emplace(aRegion, aRoundTrip);
+  if (!added) {
+    it->second = std::min(it->second, aRoundTrip);
+  }
+}
+
+Duration
+RegionWays::Mean() const
+{
+  if (shortest_.empty()) {
+    return kUnknown;
+  }
+  Duration sum{};
+  for (const auto& [region, way] : shortest_) {
+    sum += way;
+  }
+  const Duration mean = sum / static_cast<int>(shortest_.size());
+  return (mean + kStep / 2) / kStep * kStep;
+}
+
+}
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -14,6 +14,8 @@
 
 // The wait of a caller that states none.
 constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+// When a route states no time within which its callers want answers.
+constexpr Duration kDefaultTarget = std::chrono::milliseconds(500);
 // Body bytes that distinguish requests with the same target.
 constexpr std::size_t kFingerprintBody = 256;
 // A caller honours Retry-After up to a third of the time that it has left.
@@ -251,7 +253,13 @@
   query.hasObject_ = !object_.empty();
   query.objectHash_ = std::hash<std::string>()(route_->name_ + '\n' + object_);
   query.region_ = flow_.options_.region_;
-  query.remoteWeight_ = flow_.instances_.RemoteWeight(service_);
+  const Duration target = route_->targetLatency_ > Duration::zero()
+                            ? route_->targetLatency_
+                            : kDefaultTarget;
+  RegionShareOptions share;
+  share.leastWeight_ = WeightOfWay(flow_.ways_.Mean(), target);
+  query.remoteWeight_ =
+    RemoteSlotWeight(flow_.instances_.Room(service_), share);
   const auto homes =
     CommonHomes(route_->homeRegions_,
                 customer_ == nullptr ? std::vector<std::string>()
--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -104,6 +104,21 @@
   idle.push_back(std::move(aConnection));
 }
 
+void
+ServerConnections::SetOnConnected(
+  std::function<void(const Instance&, Duration)> aHook)
+{
+  onConnected_ = std::move(aHook);
+}
+
+void
+ServerConnections::Connected(const Instance& aInstance, Duration aElapsed)
+{
+  if (onConnected_) {
+    onConnected_(aInstance, aElapsed);
+  }
+}
+
 void
 ServerConnections::CloseExpired(TimePoint aNow)
 {
--- a/src/gateway/ServerConnections.h
+++ b/src/gateway/ServerConnections.h
@@ -67,6 +67,9 @@
   void Return(ServerConnectionPtr aConnection,
               Duration aKeepAlive,
               TimePoint aNow);
+  // Tells how long it took to open each new connection.
+  void SetOnConnected(std::function<void(const Instance&, Duration)> aHook);
+  void Connected(const Instance& aInstance, Duration aElapsed);
   // Closes connections that are too old to be used. Call about once a second.
   void CloseExpired(TimePoint aNow);
   // Closes the idle connections to a server whose connection went silent.
@@ -77,6 +80,7 @@
 private:
   asio::io_context& context_;
   ServerConnectionOptions options_;
+  std::function<void(const Instance&, Duration)> onConnected_;
   std::map<Instance*, std::deque<ServerConnectionPtr>> idle_;
 };
 
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -122,6 +122,8 @@
         self->Finish(ExchangeOutcome::NotRun, aError.message());
         return;
       }
+      self->connections_.Connected(*self->request_.instance_,
+                                   BootClock::now() - self->startedAt_);
       self->connection_->Configure(self->connections_.Options().silenceLimit_);
       self->Send();
     });
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -3,6 +3,7 @@
 #include "gateway/HostOrder.h"
 #include "gateway/InstanceChooser.h"
 #include "gateway/RegionShare.h"
+#include "gateway/RegionWays.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -121,6 +122,60 @@
   }
 }
 
+// Guards against one fixed weight of other regions: where the way is short, a
+// region that keeps its objects at home runs them cold on too few servers.
+TEST_CASE("The way to other regions decides how many objects go there")
+{
+  using std::chrono::milliseconds;
+  struct Row
+  {
+    const char* name_;
+    milliseconds way_;
+    milliseconds target_;
+    double least_;
+    double most_;
+  };
+  const Row rows[] = {
+    { "no way", milliseconds(0), milliseconds(400), 1, 1 },
+    { "a neighbouring town", milliseconds(40), milliseconds(400), 0.3, 0.5 },
+    { "the same for a fast route",
+      milliseconds(40),
+      milliseconds(200),
+      0.1,
+      0.25 },
+    { "another continent", milliseconds(110), milliseconds(400), 0.05, 0.13 },
+    { "a way beyond the target",
+      milliseconds(300),
+      milliseconds(200),
+      0.05,
+      0.05 },
+    { "no target", milliseconds(40), milliseconds(0), 0.05, 0.05 },
+  };
+  for (const Row& row : rows) {
+    INFO(row.name_);
+    const double weight = WeightOfWay(row.way_, row.target_);
+    CHECK(weight >= row.least_);
+    CHECK(weight <= row.most_);
+  }
+}
+
+// Guards against a way that follows the noise of single connections, which
+// would move objects.
+TEST_CASE("The way to a region is the shortest seen, in steps")
+{
+  using std::chrono::milliseconds;
+  RegionWays ways("here");
+  CHECK(ways.Mean() == RegionWays::kUnknown);
+  ways.Measured("here", milliseconds(1));
+  CHECK(ways.Mean() == RegionWays::kUnknown);
+  ways.Measured("there", milliseconds(95));
+  ways.Measured("there", milliseconds(41));
+  ways.Measured("there", milliseconds(70));
+  CHECK(ways.Mean() == milliseconds(40));
+  ways.Measured("far", milliseconds(120));
+  CHECK(ways.Mean() == milliseconds(80));
+}
+
 // Guards against refusals while another server is nearly idle, and against
 // moves that a busy fleet cannot bear.
 TEST_CASE("A full server's request goes to a half free one or is refused")
