Leave 0.45 s between two watches of the store

Cause: heartbeats of servers change the store about thirty times a second, so that each watch ends at once and the pause of 0.2 s decides how many calls a host makes.

Ruled out: a longer pause, because configurations have to be in force and leaving servers left alone within 2.5 s, over a slow store too.

--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -66,7 +66,7 @@
   Duration watchWait_ = std::chrono::milliseconds(1000);
   // The shortest time between two watches: changes that come together are read
   // together.
-  Duration watchPause_ = std::chrono::milliseconds(200);
+  Duration watchPause_ = std::chrono::milliseconds(450);
   // The pause after a failed call.
   Duration retryPause_ = std::chrono::milliseconds(150);
   // Backend servers whose registration lapsed while the store was away come
