Send late requests to the object's warm server in another region

Cause: requests waited for a busy server of their region beyond their target, while the server at which another region keeps the same object warm had free slots.

Change: where the object's server would answer after the route's target, ChooseInstance takes the first server of another region by score, which is that region's own choice for the object, if it has room and answers in time, the way included.

--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -12,6 +12,7 @@
 #include "gateway/InstanceChooser.h"
 #include "gateway/LoanChannel.h"
 #include "gateway/RegionWays.h"
+#include "gateway/RemoteBudget.h"
 #include "gateway/ServerExchange.h"
 
 #include <functional>
@@ -74,6 +75,7 @@
   AllowanceLoans loans_;
   LoanChannel loanChannel_;
   RegionWays ways_;
+  RemoteBudget remoteBudget_;
   ColdStartLimit coldStarts_;
   FleetRetryBudget retries_;
   Quarantine quarantine_;
--- a/src/gateway/InstanceChooser.cc
+++ b/src/gateway/InstanceChooser.cc
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace peridotsail {
 
@@ -79,6 +80,34 @@
   return FromSeconds(ToSeconds(*middle) * aOptions.slowFactor_);
 }
 
+// A server of another region that answers in time where the object's server
+// would be late. The first one of each region by score is where that region's
+// own requests for the object go, so that the object is probably warm there.
+InstancePtr
+FindInTime(const std::vector<Scored>& aRanked,
+           const Instance& aHome,
+           const ChoiceQuery& aQuery,
+           TimePoint aNow)
+{
+  if (!aQuery.admitRemote_ || aHome.queue_.Expected(aNow) <= aQuery.target_) {
+    return nullptr;
+  }
+  std::set<std::string> seen{ aHome.Region() };
+  for (const Scored& scored : aRanked) {
+    const InstancePtr& instance = *scored.instance_;
+    if (!seen.insert(instance->Region()).second) {
+      continue;
+    }
+    const QueueEstimate& queue = instance->queue_;
+    const bool inTime = !instance->IsCold(aNow) && queue.HasRoom(aNow) &&
+                        aQuery.way_ + queue.Expected(aNow) <= aQuery.target_;
+    if (inTime) {
+      return aQuery.admitRemote_() ? instance : nullptr;
+    }
+  }
+  return nullptr;
+}
+
 bool
 IsSlow(const Instance& aInstance, Duration aLimit, TimePoint aNow)
 {
@@ -146,6 +175,13 @@
       continue;
     }
     choice.instance_ = instance;
+    if (aQuery.hasObject_ && !choice.full_ &&
+        instance->Region() == aQuery.region_) {
+      if (const InstancePtr other =
+            FindInTime(ranked, *instance, aQuery, aNow)) {
+        choice.instance_ = other;
+      }
+    }
     return choice;
   }
   return choice;
--- a/src/gateway/InstanceChooser.h
+++ b/src/gateway/InstanceChooser.h
@@ -8,10 +8,13 @@
 // Servers of other regions have a lower weight, see RegionShare.h. An object
 // stays with its first usable server: elsewhere it would run cold, take three
 // times as long and push other objects off their servers. It leaves a server
-// that is much slower than the others for as long. When the queue there
-// is too long for the time left, the request goes to a server that is known to
-// be half free, or is refused with the time at which it would fit: a queue
-// beyond the time limit only runs requests that are given up before their end.
+// that is much slower than the others for as long. Where the server would
+// answer after the caller's target, a part of the requests goes to the server
+// at which another region keeps the object warm, if that one answers in time,
+// the way included. When the queue there is too long for the time left, the
+// request goes to a server that is known to be half free, or is refused with
+// the time at which it would fit: a queue beyond the time limit only runs
+// requests that are given up before their end.
 //
 //   ChoiceQuery query;
 //   query.objectHash_ = HashOf(route, object);
@@ -53,6 +56,13 @@
   std::set<std::string> tried_;
   // Until the request is given up.
   Duration timeLeft_{};
+  // Within which the caller wants its answer, and the way to another region
+  // and back. Zero: requests stay with their servers.
+  Duration target_{};
+  Duration way_{};
+  // Takes one unit of what may go to another region for a busy server; false:
+  // not now. Empty: never.
+  std::function<bool()> admitRemote_;
   // Takes one unit from the cold server's admission; false: not now.
   std::function<bool(const Instance&)> admitCold_;
 };
--- a/src/gateway/LoanChannel.cc
+++ b/src/gateway/LoanChannel.cc
@@ -9,7 +9,7 @@
 namespace peridotsail::detail {
 
 using nlohmann::json;
-using udp = asio::ip::udp;
+using Udp = asio::ip::udp;
 
 namespace {
 
@@ -113,7 +113,7 @@
 LoanChannel::Listen(const Address& aAddress, Error& aError)
 {
   ErrorCode error;
-  const udp::endpoint endpoint(asio::ip::make_address(aAddress.ip_),
+  const Udp::endpoint endpoint(asio::ip::make_address(aAddress.ip_),
                                aAddress.port_);
   socket_.open(endpoint.protocol(), error);
   if (!error) {
@@ -188,7 +188,7 @@
 }
 
 void
-LoanChannel::Send(const std::string& aBytes, const udp::endpoint& aReceiver)
+LoanChannel::Send(const std::string& aBytes, const Udp::endpoint& aReceiver)
 {
   ErrorCode error;
   socket_.send_to(asio::buffer(aBytes), aReceiver, 0, error);
--- a/src/gateway/QueueEstimate.cc
+++ b/src/gateway/QueueEstimate.cc
@@ -79,6 +79,14 @@
   return recent && HasFreeSlot(aNow) && 2 * present <= slots_;
 }
 
+bool
+QueueEstimate::HasRoom(TimePoint aNow) const
+{
+  const bool recent = load_.at_ != TimePoint::min() &&
+                      aNow - load_.at_ < options_.reportLifetime_;
+  return recent ? HasFreeSlot(aNow) : inFlight_ == 0;
+}
+
 bool
 QueueEstimate::HasFreeSlot(TimePoint aNow) const
 {
--- a/src/gateway/QueueEstimate.h
+++ b/src/gateway/QueueEstimate.h
@@ -64,6 +64,9 @@
   Duration Expected(TimePoint aNow) const;
   // A new request would start at once, as far as this host knows.
   bool HasFreeSlot(TimePoint aNow) const;
+  // A recent report shows a free slot, or no request of this host is there to
+  // bring a report.
+  bool HasRoom(TimePoint aNow) const;
   // A recent report shows at most half of the slots in use: the server has room
   // for objects that are not its own.
   bool IsHalfFree(TimePoint aNow) const;
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -2,6 +2,7 @@
 
 #include "base/EventLog.h"
 #include "gateway/RequestHeaders.h"
+#include "gateway/ServerHead.h"
 
 #include <algorithm>
 #include <charconv>
@@ -270,6 +271,10 @@
   query.homeRegions_ = *homes;
   query.tried_ = tried_;
   query.timeLeft_ = TimeLeft();
+  query.target_ = target;
+  query.way_ = flow_.ways_.Mean();
+  flow_.remoteBudget_.OnRequest();
+  query.admitRemote_ = [this] { return flow_.remoteBudget_.TryTake(); };
   query.admitCold_ = [this](const Instance& aInstance) {
     return AdmitCold(aInstance);
   };
@@ -292,38 +297,6 @@
     aInstance.Record().id_, perSecond, flow_.options_.viewAge_(now), now);
 }
 
-std::string
-RequestFlow::MakeHead(const Instance& aInstance) const
-{
-  const CallerRequest& request = caller_->Request();
-  const GatewayHeaders& names = flow_.options_.headers_;
-  std::string head = request.method_ + ' ' + request.target_ + " HTTP/1.1\r\n";
-  const auto add = [&head](std::string_view aName, std::string_view aValue) {
-    head.append(aName).append(": ").append(aValue).append("\r\n");
-  };
-  for (const HttpHeader& header : EndToEndHeaders(request.headers_)) {
-    const bool own = EqualIgnoreCase(header.name_, names.deadline_) ||
-                     EqualIgnoreCase(header.name_, names.expectedInstance_) ||
-                     EqualIgnoreCase(header.name_, names.customer_) ||
-                     EqualIgnoreCase(header.name_, "Authorization");
-    if (!own) {
-      add(header.name_, header.value_);
-    }
-  }
-  add(names.deadline_, std::to_string(Milliseconds(TimeLeft())));
-  add(names.expectedInstance_, aInstance.Record().id_);
-  if (customer_ != nullptr) {
-    add(names.customer_, customer_->name_);
-  }
-  const bool hasBody = !body_->empty() ||
-                       FindHeader(request.headers_, "Content-Length") ||
-                       FindHeader(request.headers_, "Transfer-Encoding");
-  if (hasBody) {
-    add("Content-Length", std::to_string(body_->size()));
-  }
-  return head + "\r\n";
-}
-
 void
 RequestFlow::Attempt()
 {
@@ -369,7 +342,12 @@
   ServerRequest request;
   request.instance_ = instance;
   request.requestId_ = requestId_;
-  request.head_ = MakeHead(*instance);
+  request.head_ = MakeServerHead(caller_->Request(),
+                                 flow_.options_.headers_,
+                                 { instance->Record().id_,
+                                   customer_ == nullptr ? "" : customer_->name_,
+                                   TimeLeft(),
+                                   body_->size() });
   request.body_ = body_;
   request.isHead_ = caller_->Request().method_ == "HEAD";
   flow_.quarantine_.Started(fingerprint_);
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -39,7 +39,6 @@
   void Attempt();
   Choice Choose();
   bool AdmitCold(const Instance& aInstance);
-  std::string MakeHead(const Instance& aInstance) const;
   void OnExchange(const InstancePtr& aInstance, ServerExchangeResult aResult);
   void Learn(const InstancePtr& aInstance, const ServerExchangeResult& aResult);
   bool MayTryAgain(const ServerExchangeResult& aResult);
--- /dev/null
+++ b/src/gateway/ServerHead.cc
@@ -0,0 +1,49 @@
+#include "gateway/ServerHead.h"
+
+#include "gateway/RequestHeaders.h"
+
+#include <algorithm>
+#include <array>
+
+namespace peridotsail::detail {
+
+std::string
+MakeServerHead(const CallerRequest& aRequest,
+               const GatewayHeaders& aNames,
+               const ServerHeadFields& aFields)
+{
+  std::string head =
+    aRequest.method_ + ' ' + aRequest.target_ + " HTTP/1.1\r\n";
+  const auto add = [&head](std::string_view aName, std::string_view aValue) {
+    head.append(aName).append(": ").append(aValue).append("\r\n");
+  };
+  const std::array<std::string_view, 4> set{ aNames.deadline_,
+                                             aNames.expectedInstance_,
+                                             aNames.customer_,
+                                             "Authorization" };
+  for (const HttpHeader& header : EndToEndHeaders(aRequest.headers_)) {
+    const bool own =
+      std::any_of(set.begin(), set.end(), [&](std::string_view aName) {
+        return EqualIgnoreCase(header.name_, aName);
+      });
+    if (!own) {
+      add(header.name_, header.value_);
+    }
+  }
+  const auto left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aFields.timeLeft_);
+  add(aNames.deadline_, std::to_string(left.count()));
+  add(aNames.expectedInstance_, aFields.serverId_);
+  if (!aFields.customer_.empty()) {
+    add(aNames.customer_, aFields.customer_);
+  }
+  const bool hasBody = aFields.bodyBytes_ > 0 ||
+                       FindHeader(aRequest.headers_, "Content-Length") ||
+                       FindHeader(aRequest.headers_, "Transfer-Encoding");
+  if (hasBody) {
+    add("Content-Length", std::to_string(aFields.bodyBytes_));
+  }
+  return head + "\r\n";
+}
+
+}
--- a/src/gateway/testing/DecisionsTest.cc
+++ b/src/gateway/testing/DecisionsTest.cc
@@ -2,8 +2,6 @@
 #include "gateway/FleetRetryBudget.h"
 #include "gateway/HostOrder.h"
 #include "gateway/InstanceChooser.h"
-#include "gateway/RegionShare.h"
-#include "gateway/RegionWays.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -89,93 +87,95 @@
   CHECK(moved > 0);
 }
 
-// Guards against a region with few servers (built so, evacuated or lost) that
-// keeps more objects than it has slots for.
-TEST_CASE("A region keeps what its part of the slots allows")
-{
-  struct Row
-  {
-    const char* name_;
-    double local_;
-    double all_;
-    std::size_t regions_;
-    // The part of the objects that stays.
-    double least_;
-    double most_;
-  };
-  const Row rows[] = {
-    { "a third of the slots", 20, 60, 3, 0.75, 0.85 },
-    { "most of the slots", 50, 60, 3, 0.95, 1 },
-    { "a tenth of the slots", 6, 66, 3, 0.30, 0.36 },
-    { "one server after an evacuation", 3, 60, 3, 0.15, 0.20 },
-    { "no server", 0, 60, 3, 0, 0 },
-    { "the only region", 60, 60, 1, 1, 1 },
-  };
-  for (const Row& row : rows) {
-    INFO(row.name_);
-    const double weight =
-      RemoteSlotWeight({ row.local_, row.all_, row.regions_ });
-    const double stays =
-      row.local_ / (row.local_ + weight * (row.all_ - row.local_));
-    CHECK(stays >= row.least_);
-    CHECK(stays <= row.most_);
-  }
-}
-
-// Guards against one fixed weight of other regions: where the way is short, a
-// region that keeps its objects at home runs them cold on too few servers.
-TEST_CASE("The way to other regions decides how many objects go there")
+// Guards against answers after the target while another region's server is warm
+// and free, and against work that jumps between regions.
+TEST_CASE("A late server's request may go to the object's server elsewhere")
 {
   using std::chrono::milliseconds;
+  const auto whole = [] { return true; };
   struct Row
   {
     const char* name_;
+    ReportedLoad home_;
+    ReportedLoad other_;
     milliseconds way_;
-    milliseconds target_;
-    double least_;
-    double most_;
+    std::function<bool()> admit_;
+    bool leaves_;
   };
   const Row rows[] = {
-    { "no way", milliseconds(0), milliseconds(400), 1, 1 },
-    { "a neighbouring town", milliseconds(40), milliseconds(400), 0.3, 0.5 },
-    { "the same for a fast route",
+    { "late here, free there",
+      { 3, 4, At(0) },
+      { 1, 0, At(0) },
+      milliseconds(40),
+      whole,
+      true },
+    { "nothing known of there",
+      { 3, 4, At(0) },
+      { 9, 9, At(-5) },
+      milliseconds(40),
+      whole,
+      true },
+    { "in time here",
+      { 3, 0, At(0) },
+      { 0, 0, At(0) },
       milliseconds(40),
-      milliseconds(200),
-      0.1,
-      0.25 },
-    { "another continent", milliseconds(110), milliseconds(400), 0.05, 0.13 },
-    { "a way beyond the target",
-      milliseconds(300),
-      milliseconds(200),
-      0.05,
-      0.05 },
-    { "no target", milliseconds(40), milliseconds(0), 0.05, 0.05 },
+      whole,
+      false },
+    { "busy there",
+      { 3, 4, At(0) },
+      { 3, 0, At(0) },
+      milliseconds(40),
+      whole,
+      false },
+    { "too far",
+      { 3, 4, At(0) },
+      { 0, 0, At(0) },
+      milliseconds(250),
+      whole,
+      false },
+    { "no more may leave",
+      { 3, 4, At(0) },
+      { 0, 0, At(0) },
+      milliseconds(40),
+      [] { return false; },
+      false },
+    { "never",
+      { 3, 4, At(0) },
+      { 0, 0, At(0) },
+      milliseconds(40),
+      nullptr,
+      false },
   };
   for (const Row& row : rows) {
     INFO(row.name_);
-    const double weight = WeightOfWay(row.way_, row.target_);
-    CHECK(weight >= row.least_);
-    CHECK(weight <= row.most_);
+    InstanceTable table(kRegions, "here");
+    table.Apply(MakeFleet());
+    ChoiceQuery query = MakeQuery(5);
+    // Homes are here, and a few requests go there.
+    query.remoteWeight_ = 0.001;
+    query.target_ = milliseconds(500);
+    query.way_ = row.way_;
+    query.admitRemote_ = row.admit_;
+    const auto& all = table.OfService("s");
+    const InstancePtr home = ChooseInstance(all, query, At(0), {}).instance_;
+    REQUIRE(home->Region() == "here");
+    for (const InstancePtr& instance : all) {
+      instance->queue_.Report(instance == home ? row.home_ : row.other_);
+    }
+    const Choice choice = ChooseInstance(all, query, At(0.1), {});
+    REQUIRE(choice.instance_);
+    CHECK((choice.instance_ != home) == row.leaves_);
+    if (row.leaves_) {
+      // Where hosts of the other region send this object.
+      ChoiceQuery there = MakeQuery(5);
+      there.region_ = "there";
+      there.remoteWeight_ = 0.001;
+      CHECK(choice.instance_ ==
+            ChooseInstance(all, there, At(0), {}).instance_);
+    }
   }
 }
 
-// Guards against a way that follows the noise of single connections, which
-// would move objects.
-TEST_CASE("The way to a region is the shortest seen, in steps")
-{
-  using std::chrono::milliseconds;
-  RegionWays ways("here");
-  CHECK(ways.Mean() == RegionWays::kUnknown);
-  ways.Measured("here", milliseconds(1));
-  CHECK(ways.Mean() == RegionWays::kUnknown);
-  ways.Measured("there", milliseconds(95));
-  ways.Measured("there", milliseconds(41));
-  ways.Measured("there", milliseconds(70));
-  CHECK(ways.Mean() == milliseconds(40));
-  ways.Measured("far", milliseconds(120));
-  CHECK(ways.Mean() == milliseconds(80));
-}
-
 // Guards against refusals while another server is nearly idle, and against
 // moves that a busy fleet cannot bear.
 TEST_CASE("A full server's request goes to a half free one or is refused")
