Count the store's return from its first answer to any call

Cause: a host that was cut from the store keeps registrations that have vanished for 2 s after the store's return, since lapsed ones come back in that time. The return counted from the first answer to a watch.

Ruled out: the choice of servers in other regions, which is new. The server was one of the host's own view, and both hosts of the region used it.

Change: HostRegistration tells of each answer to a renewal, and a call that failed after a later one was answered no longer counts as an outage.

platform_test "The store's return counts from its first answer to any call" failed before.

--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -27,8 +27,10 @@
   void OnAllRead();
   void Watch();
   void OnWatch(TimePoint aSentAt, KvStatus aStatus, const KvItems& aItems);
-  void OnStoreFailed(KvStatus aStatus);
+  // A call that was sent at aSentAt failed.
+  void OnStoreFailed(KvStatus aStatus, TimePoint aSentAt);
   void OnStoreAnswered();
+  RegistrationOptions MakeRegistrationOptions();
 
   void ApplyEvents(const std::vector<KvItem>& aItems);
   void Apply(const KvItem& aItem);
@@ -61,6 +63,8 @@
   std::map<std::string, TimePoint> missing_;
   bool reachable_ = true;
   TimePoint returnedAt_ = TimePoint::min();
+  // The store's last answer to any call.
+  TimePoint answeredAt_ = TimePoint::min();
 
   HostRegistration registration_;
 };
@@ -78,10 +82,18 @@
   , registration_(aContext,
                   aStore,
                   codec_.hostKey_(options_.name_),
-                  options_.registration_)
+                  MakeRegistrationOptions())
 {
 }
 
+RegistrationOptions
+ControlLoop::Impl::MakeRegistrationOptions()
+{
+  RegistrationOptions options = options_.registration_;
+  options.onAnswered_ = [this] { OnStoreAnswered(); };
+  return options;
+}
+
 void
 ControlLoop::Impl::After(Duration aPause, std::function<void(Impl&)> aTask)
 {
@@ -96,9 +108,10 @@
 }
 
 void
-ControlLoop::Impl::OnStoreFailed(KvStatus aStatus)
+ControlLoop::Impl::OnStoreFailed(KvStatus aStatus, TimePoint aSentAt)
 {
-  if (reachable_) {
+  // A later call may have been answered meanwhile.
+  if (reachable_ && aSentAt >= answeredAt_) {
     reachable_ = false;
     LogEvent(Event::StoreUnreachable, { { "status", NameOf(aStatus) } });
   }
@@ -107,6 +120,7 @@
 void
 ControlLoop::Impl::OnStoreAnswered()
 {
+  answeredAt_ = BootClock::now();
   if (!reachable_) {
     reachable_ = true;
     returnedAt_ = BootClock::now();
@@ -151,7 +165,7 @@
                           const KvItems& aItems)
 {
   if (aStatus != KvStatus::Done) {
-    OnStoreFailed(aStatus);
+    OnStoreFailed(aStatus, readBegun_);
     After(options_.retryPause_, [](Impl& aSelf) { aSelf.ReadAll(); });
     return;
   }
@@ -235,7 +249,7 @@
     return;
   }
   if (aStatus != KvStatus::Done) {
-    OnStoreFailed(aStatus);
+    OnStoreFailed(aStatus, aSentAt);
     After(options_.retryPause_, [](Impl& aSelf) { aSelf.Watch(); });
     return;
   }
--- a/src/gateway/HostRegistration.cc
+++ b/src/gateway/HostRegistration.cc
@@ -72,7 +72,12 @@
   store_.KeepLease(lease_,
                    [weak = weak_from_this()](KvStatus aStatus, std::uint64_t) {
                      const auto self = weak.lock();
-                     if (self && aStatus == KvStatus::Gone) {
+                     const bool gone = aStatus == KvStatus::Gone;
+                     const bool answered = gone || aStatus == KvStatus::Done;
+                     if (self && answered && self->options_.onAnswered_) {
+                       self->options_.onAnswered_();
+                     }
+                     if (self && gone) {
                        self->OnLeaseLost();
                      }
                    });
--- a/src/gateway/HostRegistration.h
+++ b/src/gateway/HostRegistration.h
@@ -25,6 +25,8 @@
   Duration leaseRenewal_ = std::chrono::milliseconds(1000);
   // The shortest time between two writes.
   Duration publishPause_ = std::chrono::milliseconds(1000);
+  // Runs when the store answers a renewal of the lease. May be empty.
+  std::function<void()> onAnswered_;
 };
 
 class HostRegistration
