--- a/src/gateway/AllowanceLoans.cc
+++ b/src/gateway/AllowanceLoans.cc
@@ -48,6 +48,13 @@
   return demand(first) <= demand(second) ? first : second;
 }
 
+void
+AllowanceLoans::OnNothingLent(Pending& aPending) const
+{
+  aPending.pause_ = std::min(options_.longestPause_,
+                             std::max(options_.pause_, 2 * aPending.pause_));
+}
+
 std::optional<LoanAsk>
 AllowanceLoans::Ask(const GatewayCustomer& aCustomer,
                     std::uint64_t aVersion,
@@ -67,8 +74,7 @@
     }
     // No answer counts as an empty one.
     if (pending.id_ != 0) {
-      pending.pause_ = std::min(options_.longestPause_,
-                                std::max(options_.pause_, 2 * pending.pause_));
+      OnNothingLent(pending);
     }
   }
   // Zero stands for "no request".
@@ -103,8 +109,7 @@
   Pending& pending = found->second;
   pending.id_ = 0;
   if (aReply.tokens_ <= 0) {
-    pending.pause_ = std::min(options_.longestPause_,
-                              std::max(options_.pause_, 2 * pending.pause_));
+    OnNothingLent(pending);
     return 0;
   }
   pending.pause_ = options_.pause_;
--- a/src/gateway/AllowanceLoans.h
+++ b/src/gateway/AllowanceLoans.h
@@ -98,6 +98,7 @@
   };
 
   const Peer& ChoosePeer(const std::string& aCustomer);
+  void OnNothingLent(Pending& aPending) const;
 
   CustomerAllowances& allowances_;
   LoanOptions options_;
--- a/src/gateway/HostRegistration.cc
+++ b/src/gateway/HostRegistration.cc
@@ -17,7 +17,7 @@
        RegistrationOptions aOptions)
     : store_(aStore)
     , key_(std::move(aKey))
-    , options_(aOptions)
+    , options_(std::move(aOptions))
     , timer_(aContext)
   {
   }
@@ -179,7 +179,10 @@
                                    KvStore& aStore,
                                    std::string aKey,
                                    RegistrationOptions aOptions)
-  : impl_(std::make_shared<Impl>(aContext, aStore, std::move(aKey), aOptions))
+  : impl_(std::make_shared<Impl>(aContext,
+                                 aStore,
+                                 std::move(aKey),
+                                 std::move(aOptions)))
 {
 }
 
