Keep one copy of base64, of addresses as text and of milliseconds

Cause: the platform's store client brought its own base64 although the client of the product's store had one, with the same two functions. An address was written as "ip:port" in five places, and a duration was cut to milliseconds in nine.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -13,16 +13,13 @@
 ListedHost
 SelfOf(const Settings& aSettings)
 {
-  const auto text = [](const Address& aAddress) {
-    return aAddress.ip_ + ":" + std::to_string(aAddress.port_);
-  };
   ListedHost self;
   self.name_ = aSettings.hostName_;
   self.region_ = aSettings.region_;
   self.failureDomain_ = aSettings.failureDomain_;
-  self.callersAddress_ = text(aSettings.callers_);
-  self.peersAddress_ = text(aSettings.peers_);
-  self.operatorsAddress_ = text(aSettings.operators_);
+  self.callersAddress_ = AddressText(aSettings.callers_);
+  self.peersAddress_ = AddressText(aSettings.peers_);
+  self.operatorsAddress_ = AddressText(aSettings.operators_);
   return self;
 }
 
--- a/src/app/SlotKeeper.cc
+++ b/src/app/SlotKeeper.cc
@@ -45,14 +45,14 @@
 PeerMessage
 EncodeAnswer(const ReachabilityAnswer& aAnswer)
 {
-  const auto quiet =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aAnswer.quiet_);
   return { PeerMessageType::ReachabilityAnswer,
-           ToCbor({ { "query", aAnswer.query_ },
-                    { "incarnation", aAnswer.incarnation_ },
-                    { "reachable", aAnswer.reachable_ },
-                    { "quiet_ms", static_cast<std::uint64_t>(quiet.count()) },
-                    { "no_outage", aAnswer.noOutageSinceRenewal_ } }) };
+           ToCbor(
+             { { "query", aAnswer.query_ },
+               { "incarnation", aAnswer.incarnation_ },
+               { "reachable", aAnswer.reachable_ },
+               { "quiet_ms",
+                 static_cast<std::uint64_t>(ToMilliseconds(aAnswer.quiet_)) },
+               { "no_outage", aAnswer.noOutageSinceRenewal_ } }) };
 }
 
 std::optional<ReachabilityAnswer>
--- a/src/backend/Quarantine.cc
+++ b/src/backend/Quarantine.cc
@@ -50,14 +50,12 @@
 std::vector<std::uint8_t>
 EncodeQuarantineNotice(const QuarantineNotice& aNotice)
 {
-  const auto age =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aNotice.age_);
   return nlohmann::json::to_cbor(
     { { "type", "QuarantineNotice" },
       { "fingerprint", aNotice.fingerprint_ },
       { "servers", aNotice.servers_ },
       { "quarantined", aNotice.quarantined_ },
-      { "age_ms", std::max<std::int64_t>(0, age.count()) } });
+      { "age_ms", std::max<std::int64_t>(0, ToMilliseconds(aNotice.age_)) } });
 }
 
 std::optional<QuarantineNotice>
--- a/platform/Base64.cc
+++ b/src/base/Base64.cc
@@ -1,4 +1,4 @@
-#include "platform/Base64.h"
+#include "base/Base64.h"
 
 #include <openssl/evp.h>
 
--- a/platform/Base64.h
+++ b/src/base/Base64.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Standard base64 with padding, as the platform's store writes values.
+// Standard base64 with padding, as stores write keys and values.
 
 #include <optional>
 #include <string>
--- a/src/base/BootClock.h
+++ b/src/base/BootClock.h
@@ -5,6 +5,7 @@
 // after a suspend although its time is over.
 
 #include <chrono>
+#include <cstdint>
 
 namespace peridotsail {
 
@@ -31,6 +32,14 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+// Returns the whole milliseconds of the duration.
+inline std::int64_t
+ToMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
 // Returns the duration of a number of seconds with a fraction.
 inline Duration
 FromSeconds(double aSeconds)
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -144,11 +144,9 @@
   , drainTimer_(main_)
 {
   self_.name_ = settings_.name_;
-  self_.callers_ =
-    settings_.callers_.ip_ + ":" + std::to_string(settings_.callers_.port_);
+  self_.callers_ = AddressText(settings_.callers_);
   if (settings_.peers_) {
-    self_.peers_ =
-      settings_.peers_->ip_ + ":" + std::to_string(settings_.peers_->port_);
+    self_.peers_ = AddressText(*settings_.peers_);
   }
   self_.failureDomain_ = settings_.failureDomain_;
   self_.region_ = settings_.region_;
--- a/src/gateway/LoanChannel.cc
+++ b/src/gateway/LoanChannel.cc
@@ -124,8 +124,8 @@
   }
   if (error) {
     aError = { ErrorKind::Internal,
-               "cannot receive datagrams on " + aAddress.ip_ + ":" +
-                 std::to_string(aAddress.port_) + ": " + error.message() };
+               "cannot receive datagrams on " + AddressText(aAddress) + ": " +
+                 error.message() };
     return false;
   }
   Receive();
@@ -169,7 +169,7 @@
 LoanChannel::OnDatagram(const std::string& aBytes)
 {
   const std::string peer =
-    sender_.address().to_string() + ":" + std::to_string(sender_.port());
+    AddressText({ sender_.address().to_string(), sender_.port() });
   const TimePoint now = BootClock::now();
   const auto request = DecodeLoanRequest(aBytes);
   const auto reply = request ? std::nullopt : DecodeLoanReply(aBytes);
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -22,13 +22,6 @@
 // A caller honours Retry-After up to a third of the time that it has left.
 constexpr double kRetryAfterPart = 0.3;
 
-std::int64_t
-Milliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 }
 
 RequestFlow::RequestFlow(FlowContext& aContext,
@@ -135,8 +128,8 @@
   if (age >= flow_.options_.mostViewAge_) {
     LogEvent(Event::ViewNotConfirmed,
              { { "request", requestId_ },
-               { "age_ms", Milliseconds(age) },
-               { "limit_ms", Milliseconds(flow_.options_.mostViewAge_) },
+               { "age_ms", ToMilliseconds(age) },
+               { "limit_ms", ToMilliseconds(flow_.options_.mostViewAge_) },
                { "version", table_->Version() } });
     // Another host may still reach the store.
     Refuse(503, "keys-not-fresh", flow_.options_.retryAfter_);
@@ -310,8 +303,8 @@
                  { "service", service_ },
                  { "server", choice.full_->Record().id_ },
                  { "waiting", choice.full_->queue_.Waiting(BootClock::now()) },
-                 { "run_ms", Milliseconds(choice.full_->queue_.RunTime()) },
-                 { "left_ms", Milliseconds(TimeLeft()) } });
+                 { "run_ms", ToMilliseconds(choice.full_->queue_.RunTime()) },
+                 { "left_ms", ToMilliseconds(TimeLeft()) } });
     }
     if (mayHaveRun_) {
       Refuse(502, "no-further-server", Duration::zero());
@@ -336,9 +329,9 @@
              { "server_region", instance->Region() },
              { "in_flight", instance->queue_.InFlight() },
              { "waiting", instance->queue_.Waiting(BootClock::now()) },
-             { "run_ms", Milliseconds(instance->queue_.RunTime()) },
+             { "run_ms", ToMilliseconds(instance->queue_.RunTime()) },
              { "attempt", attempts_ },
-             { "left_ms", Milliseconds(TimeLeft()) } });
+             { "left_ms", ToMilliseconds(TimeLeft()) } });
   ServerRequest request;
   request.instance_ = instance;
   request.requestId_ = requestId_;
@@ -553,7 +546,7 @@
              { "reason", aReason },
              { "customer", customer_ == nullptr ? "" : customer_->name_ },
              { "attempts", attempts_ },
-             { "elapsed_ms", Milliseconds(elapsed) } });
+             { "elapsed_ms", ToMilliseconds(elapsed) } });
   caller_->Answer(std::move(aAnswer));
 }
 
--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -35,14 +35,14 @@
   ErrorCode ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
   const int handle = socket_.native_handle();
-  const auto limit =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aSilenceLimit);
   SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetOption(
-    handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+  SetOption(handle,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            static_cast<int>(ToMilliseconds(aSilenceLimit)));
 }
 
 bool
--- a/src/gateway/ServerHead.cc
+++ b/src/gateway/ServerHead.cc
@@ -30,9 +30,7 @@
       add(header.name_, header.value_);
     }
   }
-  const auto left =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aFields.timeLeft_);
-  add(aNames.deadline_, std::to_string(left.count()));
+  add(aNames.deadline_, std::to_string(ToMilliseconds(aFields.timeLeft_)));
   add(aNames.expectedInstance_, aFields.serverId_);
   if (!aFields.customer_.empty()) {
     add(aNames.customer_, aFields.customer_);
--- a/src/http/BeastTypes.h
+++ b/src/http/BeastTypes.h
@@ -62,8 +62,8 @@
   }
   if (error) {
     aError = { ErrorKind::Internal,
-               "cannot listen on " + aAddress.ip_ + ":" +
-                 std::to_string(aAddress.port_) + ": " + error.message() };
+               "cannot listen on " + AddressText(aAddress) + ": " +
+                 error.message() };
   }
   return !error;
 }
--- a/src/http/HttpClient.cc
+++ b/src/http/HttpClient.cc
@@ -13,12 +13,6 @@
 
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 
-std::string
-KeyOf(const Address& aAddress)
-{
-  return aAddress.ip_ + ":" + std::to_string(aAddress.port_);
-}
-
 http::request<http::string_body>
 ToBeast(const Address& aAddress, const HttpRequest& aRequest)
 {
@@ -26,7 +20,7 @@
   request.version(11);
   SetMethod(request, aRequest.method_);
   request.target(aRequest.target_);
-  request.set(http::field::host, KeyOf(aAddress));
+  request.set(http::field::host, AddressText(aAddress));
   SetHeaders(request, aRequest.headers_);
   request.body() = aRequest.body_;
   request.prepare_payload();
@@ -60,7 +54,7 @@
   // Returns null when there is no usable idle connection.
   std::unique_ptr<beast::tcp_stream> Take(const Address& aAddress)
   {
-    std::deque<Idle>& idle = idle_[KeyOf(aAddress)];
+    std::deque<Idle>& idle = idle_[AddressText(aAddress)];
     const TimePoint now = BootClock::now();
     while (!idle.empty()) {
       Idle last = std::move(idle.back());
@@ -75,7 +69,7 @@
   void Return(const Address& aAddress,
               std::unique_ptr<beast::tcp_stream> aStream)
   {
-    std::deque<Idle>& idle = idle_[KeyOf(aAddress)];
+    std::deque<Idle>& idle = idle_[AddressText(aAddress)];
     idle.push_back({ std::move(aStream), BootClock::now() });
     if (idle.size() > options_.idleConnections_) {
       idle.pop_front();
--- a/src/http/HttpTypes.cc
+++ b/src/http/HttpTypes.cc
@@ -48,6 +48,12 @@
   return nullptr;
 }
 
+std::string
+AddressText(const Address& aAddress)
+{
+  return aAddress.ip_ + ":" + std::to_string(aAddress.port_);
+}
+
 std::optional<Address>
 ParseAddress(std::string_view aText)
 {
--- a/src/http/HttpTypes.h
+++ b/src/http/HttpTypes.h
@@ -52,6 +52,10 @@
 std::optional<Address>
 ParseAddress(std::string_view aText);
 
+// The address as ParseAddress reads it, for IPv4.
+std::string
+AddressText(const Address& aAddress);
+
 // The path of a request target, without its query.
 std::string_view
 PathOf(std::string_view aTarget);
--- a/src/once/ClaimSegment.cc
+++ b/src/once/ClaimSegment.cc
@@ -24,13 +24,6 @@
 // Record, list of entries, entry, outcome.
 constexpr int kMaxDepth = 4;
 
-std::int64_t
-ToMilliseconds(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 Json
 EncodeEntry(const ClaimEntry& aEntry)
 {
--- a/src/proxy/BackendExchange.cc
+++ b/src/proxy/BackendExchange.cc
@@ -182,10 +182,9 @@
   request_.target(head_.target_);
   SetHeaders(request_, head_.headers_);
   const Duration remaining = options_.deadline_ - BootClock::now();
-  const auto milliseconds =
-    std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-  request_.set("Request-Timeout",
-               std::to_string(std::max<long>(0, milliseconds)));
+  request_.set(
+    "Request-Timeout",
+    std::to_string(std::max<std::int64_t>(0, ToMilliseconds(remaining))));
   if (head_.contentLength_) {
     request_.content_length(*head_.contentLength_);
   } else if (head_.hasBody_) {
--- a/src/proxy/RelayNode.cc
+++ b/src/proxy/RelayNode.cc
@@ -165,9 +165,7 @@
                  RelayAllowancePtr aAllowance)
 {
   aHead.id_ = ++impl_->lastId_;
-  aHead.remainingMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                         aDeadline - BootClock::now())
-                         .count();
+  aHead.remainingMs_ = ToMilliseconds(aDeadline - BootClock::now());
   auto source = std::make_shared<RelaySource>(
     impl_, std::move(aRequest), aHost, aHead, aDeadline, std::move(aDone));
   source->SetAllowance(std::move(aAllowance));
--- a/src/store/StoreJson.cc
+++ b/src/store/StoreJson.cc
@@ -1,36 +1,9 @@
 #include "store/StoreJson.h"
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <charconv>
 
 namespace peridotsail::detail {
 
-namespace base64 = boost::beast::detail::base64;
-
-std::string
-EncodeBase64(std::string_view aBytes)
-{
-  std::string text(base64::encoded_size(aBytes.size()), '\0');
-  text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
-  return text;
-}
-
-std::optional<std::string>
-DecodeBase64(std::string_view aText)
-{
-  while (!aText.empty() && aText.back() == '=') {
-    aText.remove_suffix(1);
-  }
-  std::string bytes(base64::decoded_size(aText.size()) + 3, '\0');
-  const auto [written, read] =
-    base64::decode(bytes.data(), aText.data(), aText.size());
-  if (read != aText.size()) {
-    return std::nullopt;
-  }
-  bytes.resize(written);
-  return bytes;
-}
-
 std::int64_t
 ReadInt64(const nlohmann::json& aObject, const char* aField)
 {
--- a/src/store/StoreJson.h
+++ b/src/store/StoreJson.h
@@ -3,6 +3,7 @@
 // Conversions between store messages and the JSON of the etcd v3 API, where
 // keys and values are in base64 and 64-bit numbers are texts.
 
+#include "base/Base64.h"
 #include "store/StoreClient.h"
 
 #include <nlohmann/json.hpp>
@@ -12,13 +13,6 @@
 
 namespace peridotsail::detail {
 
-std::string
-EncodeBase64(std::string_view aBytes);
-
-// Returns nothing when the text is not valid base64.
-std::optional<std::string>
-DecodeBase64(std::string_view aText);
-
 // A number given as a JSON number or as a text; 0 when the field is absent.
 std::int64_t
 ReadInt64(const nlohmann::json& aObject, const char* aField);
