Derive once what the gateway computed in several places

Cause: found on reading the change as a whole. After a complete read each known key was looked for among all keys found, so that reading grew with the square of the fleet. The hosts of a region were counted twice for each view, the age of a load report was judged in three places, the end of a request's work stood twice and the servers' handler three times, and each look-up copied the records of all hosts.

Change: found keys are kept as kind and name in a set; HostsIn, IsReportRecent, Present, EndWork and MakeControlHandler stand once; the hosts for look-ups are copied once a view. The times in missing_, which nothing read, and an unused list go.

--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -56,11 +56,10 @@
   std::uint64_t revision_ = 0;
   std::uint64_t firstRevision_ = 0;
   TimePoint readBegun_;
-  // Keys that a complete read has found.
-  std::set<std::string> found_;
-  // Instances that are gone from the store since its return, with the time
-  // from which they count as gone.
-  std::map<std::string, TimePoint> missing_;
+  // What a complete read has found.
+  std::set<std::pair<Kind, std::string>> found_;
+  // Instances that are gone from the store since its return.
+  std::set<std::string> missing_;
   bool reachable_ = true;
   TimePoint returnedAt_ = TimePoint::min();
   // The store's last answer to any call.
@@ -174,7 +173,8 @@
     firstRevision_ = aItems.revision_;
   }
   for (const KvItem& item : aItems.items_) {
-    found_.insert(item.key_);
+    const ControlCodec::Key key = codec_.classify_(item.key_);
+    found_.emplace(key.kind_, key.name_);
     Apply(item);
   }
   if (aItems.more_ && !aItems.items_.empty()) {
@@ -189,13 +189,8 @@
 void
 ControlLoop::Impl::OnAllRead()
 {
-  std::vector<KvItem> removed;
   const auto isFound = [this](Kind aKind, const std::string& aName) {
-    return std::any_of(
-      found_.begin(), found_.end(), [&](const std::string& aKey) {
-        const ControlCodec::Key key = codec_.classify_(aKey);
-        return key.kind_ == aKind && key.name_ == aName;
-      });
+    return found_.count({ aKind, aName }) > 0;
   };
   std::vector<std::string> gone;
   for (const auto& [id, record] : view_.instances_) {
@@ -360,7 +355,7 @@
     return;
   }
   if (!reachable_ || StoreReturnedLately(now)) {
-    missing_.emplace(aId, returnedAt_ + options_.returnTime_);
+    missing_.insert(aId);
     return;
   }
   view_.instances_.erase(aId);
@@ -372,7 +367,7 @@
 void
 ControlLoop::Impl::CheckMissing()
 {
-  for (const auto& [id, until] : missing_) {
+  for (const std::string& id : missing_) {
     view_.instances_.erase(id);
     view_.readAt_.erase(id);
     changed_ = true;
--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -1,11 +1,22 @@
 #include "gateway/FleetTypes.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace peridotsail {
 
 using nlohmann::json;
 
+std::size_t
+HostsIn(const FleetSnapshot& aSnapshot, const std::string& aRegion)
+{
+  const auto count = std::count_if(
+    aSnapshot.hosts_.begin(), aSnapshot.hosts_.end(), [&](const auto& aEntry) {
+      return aEntry.second.region_ == aRegion;
+    });
+  return static_cast<std::size_t>(count);
+}
+
 std::string
 EncodeHostRecord(const HostRecord& aHost)
 {
--- a/src/gateway/FleetTypes.h
+++ b/src/gateway/FleetTypes.h
@@ -68,6 +68,10 @@
   bool registered_ = false;
 };
 
+// The registered hosts of a region.
+std::size_t
+HostsIn(const FleetSnapshot& aSnapshot, const std::string& aRegion);
+
 using FleetSnapshotPtr = std::shared_ptr<const FleetSnapshot>;
 
 // The requests of callers as far as this host publishes them.
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -57,6 +57,7 @@
   void OnSnapshot(const FleetSnapshotPtr& aSnapshot);
   void OnTick();
   void PublishSelf();
+  HttpServer::Handler MakeControlHandler();
   void HandleControl(const HttpRequest& aRequest, HttpReply& aReply);
   bool IsReady() const;
   Duration ViewAge(TimePoint aNow) const;
@@ -83,6 +84,8 @@
   HttpServer metricsServer_;
   asio::steady_timer tick_;
   FleetSnapshotPtr snapshot_;
+  // The snapshot's hosts, with this one as it is now.
+  std::map<std::string, HostRecord> lookupHosts_;
   // When the snapshot was last known to be the store's view.
   TimePoint confirmedAt_ = TimePoint::min();
   HostRecord self_;
@@ -121,24 +124,9 @@
              settings_.mostDescriptors_ > 2 * kReservedDescriptors
                ? settings_.mostDescriptors_ - kReservedDescriptors
                : settings_.mostDescriptors_ / 2)
-  , controlServer_(traffic_.Context(),
-                   {},
-                   [this](const HttpRequest& aRequest,
-                          const std::shared_ptr<HttpReply>& aReply) {
-                     HandleControl(aRequest, *aReply);
-                   })
-  , directoryServer_(traffic_.Context(),
-                     {},
-                     [this](const HttpRequest& aRequest,
-                            const std::shared_ptr<HttpReply>& aReply) {
-                       HandleControl(aRequest, *aReply);
-                     })
-  , metricsServer_(traffic_.Context(),
-                   {},
-                   [this](const HttpRequest& aRequest,
-                          const std::shared_ptr<HttpReply>& aReply) {
-                     HandleControl(aRequest, *aReply);
-                   })
+  , controlServer_(traffic_.Context(), {}, MakeControlHandler())
+  , directoryServer_(traffic_.Context(), {}, MakeControlHandler())
+  , metricsServer_(traffic_.Context(), {}, MakeControlHandler())
   , tick_(traffic_.Context())
   , signals_(main_, SIGTERM, SIGINT, SIGHUP)
   , drainTimer_(main_)
@@ -290,18 +278,18 @@
 Gateway::Impl::OnSnapshot(const FleetSnapshotPtr& aSnapshot)
 {
   snapshot_ = aSnapshot;
+  lookupHosts_ = aSnapshot->hosts_;
   instances_.Apply(*aSnapshot);
   const TimePoint now = BootClock::now();
-  std::size_t inRegion = 0;
   for (const auto& [name, host] : aSnapshot->hosts_) {
-    inRegion += host.region_ == settings_.region_ ? 1 : 0;
     for (const std::string& fingerprint : host.quarantined_) {
       if (name != settings_.name_) {
         flow_.quarantine_.Apply({ fingerprint, {}, true, {} }, now);
       }
     }
   }
-  flow_.coldStarts_.SetHosts(aSnapshot->registered_, inRegion, now);
+  flow_.coldStarts_.SetHosts(
+    aSnapshot->registered_, HostsIn(*aSnapshot, settings_.region_), now);
   flow_.retries_.SetHosts(aSnapshot->hosts_.size());
   if (aSnapshot->table_) {
     flow_.allowances_.Apply(
@@ -354,6 +342,15 @@
   return flow_.table_ && !draining_.load();
 }
 
+HttpServer::Handler
+Gateway::Impl::MakeControlHandler()
+{
+  return [this](const HttpRequest& aRequest,
+                const std::shared_ptr<HttpReply>& aReply) {
+    HandleControl(aRequest, *aReply);
+  };
+}
+
 void
 Gateway::Impl::HandleControl(const HttpRequest& aRequest, HttpReply& aReply)
 {
@@ -362,13 +359,10 @@
     return;
   }
   if (const auto region = adapter_.lookupRegion_(aRequest)) {
-    std::map<std::string, HostRecord> hosts;
-    if (snapshot_) {
-      hosts = snapshot_->hosts_;
-    }
-    hosts[settings_.name_] = self_;
-    hosts[settings_.name_].draining_ = draining_.load();
-    const auto addresses = HostsFor(hosts, *region, kMostHosts);
+    HostRecord& self = lookupHosts_[settings_.name_];
+    self = self_;
+    self.draining_ = draining_.load();
+    const auto addresses = HostsFor(lookupHosts_, *region, kMostHosts);
     if (addresses.empty() || !flow_.table_) {
       aReply.Send({ 503, {}, "" });
       return;
--- a/src/gateway/InstanceTable.cc
+++ b/src/gateway/InstanceTable.cc
@@ -78,14 +78,10 @@
     ApplyRecord(record, at, aSnapshot);
   }
   byService_.clear();
-  std::size_t hostsHere = 0;
-  for (const auto& [name, host] : aSnapshot.hosts_) {
-    hostsHere += host.region_ == region_ ? 1 : 0;
-  }
+  const double sharers =
+    std::max(1.0, static_cast<double>(HostsIn(aSnapshot, region_)));
   for (const auto& [id, instance] : instances_) {
-    const bool local = instance->region_ == region_;
-    instance->queue_.SetSharers(
-      local ? std::max<double>(1, static_cast<double>(hostsHere)) : 1);
+    instance->queue_.SetSharers(instance->region_ == region_ ? sharers : 1);
     byService_[instance->record_.service_].push_back(instance);
   }
   CountSlots();
--- a/src/gateway/QueueEstimate.cc
+++ b/src/gateway/QueueEstimate.cc
@@ -36,17 +36,24 @@
 {
   const double own = inFlight_ * sharers_ + 1 - slots_;
   double reported = 0;
-  if (load_.at_ != TimePoint::min() &&
-      aNow - load_.at_ < options_.reportLifetime_) {
-    reported = load_.running_ + load_.waiting_ + SentSinceReport() + 1 - slots_;
+  if (IsReportRecent(aNow)) {
+    reported = Present() + 1 - slots_;
   }
   return std::max({ 0.0, own, reported });
 }
 
+bool
+QueueEstimate::IsReportRecent(TimePoint aNow) const
+{
+  return load_.at_ != TimePoint::min() &&
+         aNow - load_.at_ < options_.reportLifetime_;
+}
+
 int
-QueueEstimate::SentSinceReport() const
+QueueEstimate::Present() const
 {
-  return std::min(sentSinceReport_, inFlight_);
+  return load_.running_ + load_.waiting_ +
+         std::min(sentSinceReport_, inFlight_);
 }
 
 void
@@ -73,18 +80,13 @@
 bool
 QueueEstimate::IsHalfFree(TimePoint aNow) const
 {
-  const bool recent = load_.at_ != TimePoint::min() &&
-                      aNow - load_.at_ < options_.reportLifetime_;
-  const int present = load_.running_ + load_.waiting_ + SentSinceReport();
-  return recent && HasFreeSlot(aNow) && 2 * present <= slots_;
+  return IsReportRecent(aNow) && HasFreeSlot(aNow) && 2 * Present() <= slots_;
 }
 
 bool
 QueueEstimate::HasRoom(TimePoint aNow) const
 {
-  const bool recent = load_.at_ != TimePoint::min() &&
-                      aNow - load_.at_ < options_.reportLifetime_;
-  return recent ? HasFreeSlot(aNow) : inFlight_ == 0;
+  return IsReportRecent(aNow) ? HasFreeSlot(aNow) : inFlight_ == 0;
 }
 
 bool
--- a/src/gateway/QueueEstimate.h
+++ b/src/gateway/QueueEstimate.h
@@ -73,9 +73,10 @@
   Duration RunTime() const { return FromSeconds(runSeconds_); }
 
 private:
-  // Requests that the last report does not count: those sent since that have
-  // not ended. One that was shed without a report is not there any more.
-  int SentSinceReport() const;
+  bool IsReportRecent(TimePoint aNow) const;
+  // Requests at the server: those of the last report, and those sent since that
+  // have not ended. One that was shed without a report is not there any more.
+  int Present() const;
 
   int slots_;
   double sharers_ = 1;
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -250,8 +250,9 @@
   const Duration target = route_->targetLatency_ > Duration::zero()
                             ? route_->targetLatency_
                             : kDefaultTarget;
+  const Duration way = flow_.ways_.Mean();
   RegionShareOptions share;
-  share.leastWeight_ = WeightOfWay(flow_.ways_.Mean(), target);
+  share.leastWeight_ = WeightOfWay(way, target);
   query.remoteWeight_ =
     RemoteSlotWeight(flow_.instances_.Room(service_), share);
   const auto homes =
@@ -265,7 +266,7 @@
   query.tried_ = tried_;
   query.timeLeft_ = TimeLeft();
   query.target_ = target;
-  query.way_ = flow_.ways_.Mean();
+  query.way_ = way;
   flow_.remoteBudget_.OnRequest();
   query.admitRemote_ = [this] { return flow_.remoteBudget_.TryTake(); };
   query.admitCold_ = [this](const Instance& aInstance) {
@@ -481,13 +482,20 @@
   if (finished_) {
     return;
   }
-  finished_ = true;
-  timer_.cancel();
+  EndWork();
   flow_.metrics_.abandoned_.Add(1);
   LogEvent(Event::CallerLeft, { { "request", requestId_ } });
+}
+
+void
+RequestFlow::EndWork()
+{
+  finished_ = true;
+  timer_.cancel();
   if (exchange_) {
     exchange_->Cancel();
     flow_.quarantine_.Ended(fingerprint_);
+    exchange_.reset();
   }
 }
 
@@ -521,13 +529,7 @@
   if (finished_) {
     return;
   }
-  finished_ = true;
-  timer_.cancel();
-  if (exchange_) {
-    exchange_->Cancel();
-    flow_.quarantine_.Ended(fingerprint_);
-    exchange_.reset();
-  }
+  EndWork();
   const TimePoint now = BootClock::now();
   // A request that did not run takes nothing from its customer.
   if (charged_ && aAnswer.status_ == 503) {
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -46,6 +46,8 @@
   void FailAfter(const ServerExchangeResult& aResult);
   void OnTimeout();
   void OnCallerGone();
+  // No attempt and no timer goes on after this.
+  void EndWork();
   void Refuse(int aStatus, const std::string& aReason, Duration aRetryAfter);
   void Finish(CallerAnswer aAnswer, const std::string& aReason);
   Duration TimeLeft() const;
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -86,10 +86,10 @@
 void
 ServerExchange::Start()
 {
-  waitingAtStart_ = request_.instance_->queue_.Waiting(BootClock::now());
   startedAt_ = BootClock::now();
+  waitingAtStart_ = request_.instance_->queue_.Waiting(startedAt_);
   request_.instance_->queue_.Sent();
-  connection_ = connections_.TakeIdle(request_.instance_, BootClock::now());
+  connection_ = connections_.TakeIdle(request_.instance_, startedAt_);
   if (connection_) {
     Send();
   } else {
