Share the loops of the allowance tests

Cause: the count of the fullest window, the table with one customer and the customer who asks steadily stood twice in the tests.

Change: MostInWindow and MakeAllowanceTable stand with the fleet, AskSteadily serves both tests of refusals.

--- a/src/gateway/testing/AllowanceFleet.h
+++ b/src/gateway/testing/AllowanceFleet.h
@@ -6,12 +6,14 @@
 
 #include "gateway/AllowanceLoans.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace peridotsail {
 
@@ -21,6 +23,36 @@
   return TimePoint() + FromSeconds(aSeconds + 1000);
 }
 
+// The most admissions in any window of the length, in seconds; the times are
+// in order.
+inline double
+MostInWindow(const std::vector<double>& aAdmitted, double aWindow)
+{
+  std::size_t most = 0;
+  std::size_t end = 0;
+  for (std::size_t begin = 0; begin < aAdmitted.size(); ++begin) {
+    while (end < aAdmitted.size() &&
+           aAdmitted[end] < aAdmitted[begin] + aWindow) {
+      ++end;
+    }
+    most = std::max(most, end - begin);
+  }
+  return static_cast<double>(most);
+}
+
+// A configuration with one customer.
+inline RoutingTablePtr
+MakeAllowanceTable(double aRate, double aBurst)
+{
+  RoutingTableParts parts;
+  GatewayCustomer customer;
+  customer.name_ = "school";
+  customer.ratePerSecond_ = aRate;
+  customer.burst_ = aBurst;
+  parts.customers_.push_back(customer);
+  return std::make_shared<const RoutingTable>(parts);
+}
+
 struct LoanFaults
 {
   double lost_ = 0;
--- a/src/gateway/testing/AllowanceLoansTest.cc
+++ b/src/gateway/testing/AllowanceLoansTest.cc
@@ -17,23 +17,11 @@
 constexpr double kWindow = 5;
 constexpr std::uint64_t kVersion = 1;
 
-RoutingTablePtr
-MakeTable()
-{
-  RoutingTableParts parts;
-  GatewayCustomer customer;
-  customer.name_ = "school";
-  customer.ratePerSecond_ = kRate;
-  customer.burst_ = kBurst;
-  parts.customers_.push_back(customer);
-  return std::make_shared<const RoutingTable>(parts);
-}
-
 // Two hosts of which the first has spent its tokens and the second has not.
 struct LoanPair
 {
   LoanPair()
-    : table_(MakeTable())
+    : table_(MakeAllowanceTable(kRate, kBurst))
     , customer_(table_->Customers().front())
     , fleet_(2, kSeed)
   {
@@ -150,7 +138,7 @@
     { "doubled", { 0, 0.5, 0.06 } }, { "late", { 0, 0.2, 3 } },
     { "all", { 0.2, 0.3, 2 } },
   };
-  const RoutingTablePtr table = MakeTable();
+  const RoutingTablePtr table = MakeAllowanceTable(kRate, kBurst);
   const GatewayCustomer& customer = table->Customers().front();
   for (const Row& row : rows) {
     for (std::uint64_t seed = kSeed; seed < kSeed + 10; ++seed) {
@@ -182,14 +170,7 @@
       }
       CHECK(fleet.lent_ > 0);
       const double bound = (kRate * kWindow + kBurst) * 1.1 + 20;
-      std::size_t end = 0;
-      for (std::size_t begin = 0; begin < admitted.size(); ++begin) {
-        while (end < admitted.size() &&
-               admitted[end] < admitted[begin] + kWindow) {
-          ++end;
-        }
-        REQUIRE(static_cast<double>(end - begin) <= bound);
-      }
+      REQUIRE(MostInWindow(admitted, kWindow) <= bound);
     }
   }
 }
--- a/src/gateway/testing/CustomerAllowancesTest.cc
+++ b/src/gateway/testing/CustomerAllowancesTest.cc
@@ -10,16 +10,38 @@
 
 constexpr std::uint64_t kSeed = 20261204;
 
-RoutingTablePtr
-MakeTable(double aRate, double aBurst)
+struct Refusals
 {
-  RoutingTableParts parts;
-  GatewayCustomer customer;
-  customer.name_ = "school";
-  customer.ratePerSecond_ = aRate;
-  customer.burst_ = aBurst;
-  parts.customers_.push_back(customer);
-  return std::make_shared<const RoutingTable>(parts);
+  int asked_ = 0;
+  int refused_ = 0;
+};
+
+// A customer asks for a steady rate at seven hosts, of which three get twice as
+// much as the others; counted once the hosts have learned that.
+Refusals
+AskSteadily(const RoutingTable& aTable, double aPerSecond, double aSeconds)
+{
+  constexpr double kCountFrom = 5;
+  const GatewayCustomer& customer = aTable.Customers().front();
+  std::mt19937_64 random(kSeed);
+  AllowanceFleet fleet(7, kSeed);
+  std::discrete_distribution<std::size_t> anyHost({ 2, 2, 2, 1, 1, 1, 1 });
+  std::exponential_distribution<double> gap(aPerSecond);
+  Refusals result;
+  int step = 0;
+  double nextStep = 0;
+  for (double now = 0; now < aSeconds; now += gap(random)) {
+    while (now >= nextStep) {
+      fleet.Step(aTable, nextStep, step++ % 5 == 0);
+      nextStep += 0.2;
+    }
+    const bool ok = fleet.TryTake(anyHost(random), customer, now);
+    if (now > kCountFrom) {
+      ++result.asked_;
+      result.refused_ += ok ? 0 : 1;
+    }
+  }
+  return result;
 }
 
 }
@@ -62,7 +84,7 @@
   constexpr double kRate = 40;
   constexpr double kBurst = 40;
   constexpr double kWindow = 5;
-  const RoutingTablePtr table = MakeTable(kRate, kBurst);
+  const RoutingTablePtr table = MakeAllowanceTable(kRate, kBurst);
   const GatewayCustomer& customer = table->Customers().front();
   for (const Row& row : rows) {
     INFO(row.name_ << " seed " << kSeed);
@@ -93,44 +115,17 @@
     }
     CHECK(static_cast<double>(admitted.size()) > kRate * 40 / 4);
     const double bound = (kRate * kWindow + kBurst) * 1.1 + 20;
-    std::size_t end = 0;
-    for (std::size_t begin = 0; begin < admitted.size(); ++begin) {
-      while (end < admitted.size() &&
-             admitted[end] < admitted[begin] + kWindow) {
-        ++end;
-      }
-      REQUIRE(static_cast<double>(end - begin) <= bound);
-    }
+    REQUIRE(MostInWindow(admitted, kWindow) <= bound);
   }
 }
 
 // Guards against refusals below the rate while callers are spread.
 TEST_CASE("At four fifths of the rate nearly nothing is refused")
 {
-  const RoutingTablePtr table = MakeTable(140, 140);
-  const GatewayCustomer& customer = table->Customers().front();
-  std::mt19937_64 random(kSeed);
-  AllowanceFleet fleet(7, kSeed);
-  // Three hosts get twice as much as the others.
-  std::discrete_distribution<std::size_t> anyHost({ 2, 2, 2, 1, 1, 1, 1 });
-  int asked = 0;
-  int refused = 0;
-  int step = 0;
-  std::exponential_distribution<double> gap(112);
-  double nextStep = 0;
-  for (double now = 0; now < 30; now += gap(random)) {
-    while (now >= nextStep) {
-      fleet.Step(*table, nextStep, step++ % 5 == 0);
-      nextStep += 0.2;
-    }
-    const bool ok = fleet.TryTake(anyHost(random), customer, now);
-    if (now > 5) {
-      ++asked;
-      refused += ok ? 0 : 1;
-    }
-  }
-  INFO("asked " << asked << " refused " << refused << " seed " << kSeed);
-  CHECK(refused <= asked / 50);
+  const Refusals result = AskSteadily(*MakeAllowanceTable(140, 140), 112, 30);
+  INFO("asked " << result.asked_ << " refused " << result.refused_ << " seed "
+                << kSeed);
+  CHECK(result.refused_ <= result.asked_ / 50);
 }
 
 // Guards against refusals within the limit of a small customer who asks for its
@@ -139,31 +134,12 @@
 TEST_CASE("A customer who asks for its whole rate gets nearly all of it")
 {
   constexpr double kRate = 26;
-  constexpr double kBurst = 26;
-  const RoutingTablePtr table = MakeTable(kRate, kBurst);
-  const GatewayCustomer& customer = table->Customers().front();
-  std::mt19937_64 random(kSeed);
-  AllowanceFleet fleet(7, kSeed);
-  std::discrete_distribution<std::size_t> anyHost({ 2, 2, 2, 1, 1, 1, 1 });
-  std::exponential_distribution<double> gap(kRate);
-  int asked = 0;
-  int refused = 0;
-  int step = 0;
-  double nextStep = 0;
-  for (double now = 0; now < 60; now += gap(random)) {
-    while (now >= nextStep) {
-      fleet.Step(*table, nextStep, step++ % 5 == 0);
-      nextStep += 0.2;
-    }
-    const bool ok = fleet.TryTake(anyHost(random), customer, now);
-    if (now > 5) {
-      ++asked;
-      refused += ok ? 0 : 1;
-    }
-  }
-  INFO("asked " << asked << " refused " << refused << " seed " << kSeed);
+  const Refusals result =
+    AskSteadily(*MakeAllowanceTable(kRate, kRate), kRate, 60);
+  INFO("asked " << result.asked_ << " refused " << result.refused_ << " seed "
+                << kSeed);
   // Retries of the refused ones are not counted here.
-  CHECK(refused <= asked * 7 / 100);
+  CHECK(result.refused_ <= result.asked_ * 7 / 100);
 }
 
 // Guards the time after a restart of all hosts: when the first hosts have
@@ -179,7 +155,7 @@
   // How long a host is away, and its first measurement of demand.
   constexpr double kAway = 0.5;
   constexpr double kMeasure = 1.0;
-  const RoutingTablePtr table = MakeTable(kRate, kBurst);
+  const RoutingTablePtr table = MakeAllowanceTable(kRate, kBurst);
   const GatewayCustomer& customer = table->Customers().front();
   std::mt19937_64 random(kSeed);
   std::uniform_int_distribution<std::size_t> anyHost(0, 6);
