Use the usable part of a configuration, and downloads

Cause: one unknown kind of route ("download") refused the whole configuration, so that both further deployments got nothing. The store only accepts valid documents; one that this build does not know in full comes from a newer platform and is in force all the same.

Ruled out: refusing the document and serving the last one, as before (there is none at the first start); dropping a broken route (its requests would fall to the route with the next shorter prefix, and run at a wrong service).

Change: "download" is an idempotent kind. An unknown kind runs once at most, an unknown field is ignored. A route that cannot be used stays without services and answers 503; a broken service, listener, customer or limit costs only itself. Keys stay required when no customer can be used. Each such entry is logged as event 2010, at most eight for a document.

The test that an unknown kind and a route without a service refuse the whole document asserted the fault; its two documents are now rows of the table test "An entry that cannot be used leaves the others in force", which asserts the version, the other route, the broken one and the customer for each.

--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -32,6 +32,7 @@
   HostIsolated = 2007,
   EvacuationChanged = 2008,
   SettingsReloaded = 2009,
+  ConfigurationEntryUnusable = 2010,
   HostConfirmed = 2101,
   // 3000: platform
   StoreUnreachable = 3001,
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -82,7 +82,7 @@
   if (begun_ || finished_ || !flow_.table_ || !FindRoute()) {
     return;
   }
-  if (route_->kind_ == RequestKind::Safe || first_) {
+  if (IsIdempotent(route_->kind_) || first_) {
     Begin();
   }
 }
@@ -115,13 +115,17 @@
     Refuse(404, "no-route", Duration::zero());
     return false;
   }
+  if (route_->services_.empty()) {
+    Refuse(503, "unusable-route", flow_.options_.retryAfter_);
+    return false;
+  }
   return true;
 }
 
 bool
 RequestFlow::CheckKey()
 {
-  if (!table_->HasCustomers() || route_->open_) {
+  if (!table_->KeysRequired() || route_->open_) {
     return true;
   }
   const Duration age = flow_.options_.viewAge_(BootClock::now());
@@ -420,8 +424,8 @@
 {
   const bool failed = aResult.outcome_ != ExchangeOutcome::Answered ||
                       aResult.answer_.status_ / 100 == 5;
-  const bool repeatable = aResult.outcome_ == ExchangeOutcome::NotRun ||
-                          route_->kind_ == RequestKind::Safe;
+  const bool repeatable =
+    aResult.outcome_ == ExchangeOutcome::NotRun || IsIdempotent(route_->kind_);
   if (!failed || !repeatable || attempts_ >= route_->maxAttempts_ ||
       TimeLeft() < flow_.options_.leastTimeLeft_) {
     return false;
--- a/src/gateway/RoutingTable.cc
+++ b/src/gateway/RoutingTable.cc
@@ -14,10 +14,11 @@
   std::string_view name_;
 };
 
-constexpr std::array<KindName, 3> kKindNames{ {
+constexpr std::array<KindName, 4> kKindNames{ {
   { RequestKind::Safe, "safe" },
   { RequestKind::Unsafe, "unsafe" },
   { RequestKind::Upload, "upload" },
+  { RequestKind::Download, "download" },
 } };
 
 std::string
@@ -60,6 +61,12 @@
   return std::nullopt;
 }
 
+bool
+IsIdempotent(RequestKind aKind)
+{
+  return aKind == RequestKind::Safe || aKind == RequestKind::Download;
+}
+
 RoutingTable::RoutingTable(RoutingTableParts aParts)
   : parts_(std::move(aParts))
 {
--- a/src/gateway/RoutingTable.h
+++ b/src/gateway/RoutingTable.h
@@ -20,14 +20,20 @@
 
 namespace peridotsail {
 
-// What may be repeated. Uploads are non-idempotent requests with large bodies.
+// What may be repeated. Uploads are non-idempotent requests with large bodies,
+// downloads are idempotent requests with large answers.
 enum class RequestKind
 {
   Safe,
   Unsafe,
   Upload,
+  Download,
 };
 
+// Whether a request of the kind may run more than once.
+bool
+IsIdempotent(RequestKind aKind);
+
 std::string_view
 NameOf(RequestKind aKind);
 
@@ -54,7 +60,8 @@
   bool open_ = false;
   // Answers are faster from a backend server that handled the object before.
   bool sticky_ = false;
-  // One service, or several that share the requests by weight.
+  // One service, or several that share the requests by weight. None: the route
+  // cannot be used, and must not fall to one with a shorter prefix either.
   std::vector<WeightedService> services_;
   // The longest time for which a caller is kept waiting; zero: no limit.
   Duration timeout_{};
@@ -103,6 +110,9 @@
   std::map<std::string, std::vector<GatewayRoute>> routes_;
   std::vector<GatewayService> services_;
   std::vector<GatewayCustomer> customers_;
+  // Requests on routes that are not open need a key. Holds also when no
+  // customer can be used.
+  bool keysRequired_ = false;
 };
 
 class RoutingTable
@@ -117,8 +127,7 @@
                                 std::string_view aPath) const;
   const GatewayService* FindService(const std::string& aName) const;
   const GatewayCustomer* FindCustomer(const std::string& aKey) const;
-  // Without customers no request carries a key.
-  bool HasCustomers() const { return !parts_.customers_.empty(); }
+  bool KeysRequired() const { return parts_.keysRequired_; }
   const std::vector<GatewayCustomer>& Customers() const
   {
     return parts_.customers_;
