--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -44,6 +44,8 @@
   HostLeaseLost = 3007,
   HostRecordRefused = 3008,
   StoreCallFailed = 3009,
+  ViewNeighbourFailed = 3010,
+  ViewNeighbourBehind = 3011,
   // 4000: peers
   PeerConnected = 4001,
   PeerDisconnected = 4002,
@@ -61,7 +63,7 @@
   ServerFull = 5010,
   ViewNotConfirmed = 5011,
   LoanTaken = 5012,
-  LoanMessageDropped = 5013,
+  AllowanceMessageDropped = 5013,
   // 7000: at-most-once execution
   ClaimsLoaded = 7001,
   ClaimRecordMalformed = 7002,
--- a/src/gateway/AllowanceLoans.cc
+++ b/src/gateway/AllowanceLoans.cc
@@ -5,47 +5,26 @@
 namespace peridotsail {
 
 AllowanceLoans::AllowanceLoans(CustomerAllowances& aAllowances,
+                               AllowanceOwners& aOwners,
                                LoanOptions aOptions,
                                std::uint64_t aSeed)
   : allowances_(aAllowances)
+  , owners_(aOwners)
   , options_(aOptions)
   , random_(aSeed)
 {
 }
 
-void
-AllowanceLoans::SetHosts(const std::map<std::string, HostRecord>& aHosts,
-                         const std::string& aSelf)
+ShareKey
+AllowanceLoans::ChooseLender(const ShareKey& aShare)
 {
-  peers_.clear();
-  for (const auto& [name, host] : aHosts) {
-    if (name != aSelf && !host.draining_ && !host.peers_.empty()) {
-      peers_.push_back({ host.peers_, host.demand_ });
-    }
+  const std::size_t shares = owners_.Shares();
+  if (shares < 2) {
+    return aShare;
   }
-}
-
-bool
-AllowanceLoans::Knows(const std::string& aPeer) const
-{
-  return std::any_of(peers_.begin(), peers_.end(), [&](const Peer& aOne) {
-    return aOne.address_ == aPeer;
-  });
-}
-
-// Of two hosts the one with less demand: finds those with tokens left without
-// asking all of them.
-const AllowanceLoans::Peer&
-AllowanceLoans::ChoosePeer(const std::string& aCustomer)
-{
-  std::uniform_int_distribution<std::size_t> any(0, peers_.size() - 1);
-  const auto demand = [&](const Peer& aPeer) {
-    const auto found = aPeer.demand_.find(aCustomer);
-    return found == aPeer.demand_.end() ? 0 : found->second;
-  };
-  const Peer& first = peers_[any(random_)];
-  const Peer& second = peers_[any(random_)];
-  return demand(first) <= demand(second) ? first : second;
+  const std::size_t step =
+    std::uniform_int_distribution<std::size_t>(1, shares - 1)(random_);
+  return { aShare.customer_, (aShare.share_ + step) % shares };
 }
 
 void
@@ -56,18 +35,24 @@
 }
 
 std::optional<LoanAsk>
-AllowanceLoans::Ask(const GatewayCustomer& aCustomer,
+AllowanceLoans::Ask(const ShareKey& aShare,
                     std::uint64_t aVersion,
                     TimePoint aNow)
 {
-  if (peers_.empty()) {
+  const double missing = allowances_.Missing(aShare, aNow);
+  if (missing <= 0) {
     return std::nullopt;
   }
-  const double missing = allowances_.Missing(aCustomer.name_, aNow);
-  if (missing <= 0) {
+  const ShareKey lender = ChooseLender(aShare);
+  const AllowanceOwner* owner = owners_.OwnerOf(lender);
+  if (owner == nullptr || lender.share_ == aShare.share_) {
+    return std::nullopt;
+  }
+  if (owner->self_) {
+    allowances_.Give(aShare, allowances_.Lend(lender, missing, aNow), aNow);
     return std::nullopt;
   }
-  Pending& pending = pending_[aCustomer.name_];
+  Pending& pending = pending_[aShare];
   if (pending.askedAt_ != TimePoint::min()) {
     if (aNow - pending.askedAt_ < std::max(options_.pause_, pending.pause_)) {
       return std::nullopt;
@@ -80,8 +65,7 @@
   // Zero stands for "no request".
   pending.id_ = std::max<std::uint64_t>(1, random_());
   pending.askedAt_ = aNow;
-  return LoanAsk{ ChoosePeer(aCustomer.name_).address_,
-                  { pending.id_, aCustomer.name_, aVersion, missing } };
+  return LoanAsk{ owner->address_, { pending.id_, lender, aVersion, missing } };
 }
 
 LoanReply
@@ -92,7 +76,7 @@
   const bool sameLimits = aRequest.version_ == aVersion;
   return { aRequest.id_,
            sameLimits
-             ? allowances_.Lend(aRequest.customer_, aRequest.tokens_, aNow)
+             ? allowances_.Lend(aRequest.share_, aRequest.tokens_, aNow)
              : 0 };
 }
 
--- a/src/gateway/AllowanceLoans.h
+++ b/src/gateway/AllowanceLoans.h
@@ -1,20 +1,21 @@
 #pragma once
 
-// Lends tokens of customers' allowances between hosts. A share that follows
-// demand by the second still leaves one host without tokens while others have
-// some left; a host that runs low asks another one for a part of its tokens.
-// Tokens only move, so that the limit over all hosts holds whatever messages
-// are lost, doubled or late: a lender gives its tokens up before it answers,
-// and a borrower takes each answer once, and only soon after it asked.
+// Lends tokens between the owners of a customer's shares: callers may all
+// connect in one region. An owner that runs low asks the owner of another share
+// for a part of its tokens. Tokens only move, so that the limit over all shares
+// holds whatever messages are lost, doubled or late: a lender gives its tokens
+// up before it answers, and a borrower takes each answer once, and only soon
+// after it asked.
 //
 // Pure; used on the traffic thread.
 //
-//   if (auto ask = loans.Ask(customer, version, now)) {
-//     send ask->request_ to ask->peer_;
+//   if (auto ask = loans.Ask(share, version, now)) {
+//     send ask->request_ to ask->address_;
 //   }
 //   LoanReply reply = loans.Answer(request, version, now);   // at the lender
 //   loans.Accept(reply, now);                                // at the borrower
 
+#include "gateway/AllowanceMessages.h"
 #include "gateway/CustomerAllowances.h"
 
 #include <cstdint>
@@ -22,13 +23,12 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <vector>
 
 namespace peridotsail {
 
 struct LoanOptions
 {
-  // Between two requests for the same customer: about the way to the farthest
+  // Between two requests for the same share: about the way to the farthest
   // region and back.
   Duration pause_ = std::chrono::milliseconds(100);
   // The pause doubles up to this while nothing is lent.
@@ -38,26 +38,10 @@
   Duration answerLife_ = std::chrono::milliseconds(500);
 };
 
-struct LoanRequest
-{
-  std::uint64_t id_ = 0;
-  std::string customer_;
-  // Of the configuration; a lender with another one lends nothing, since its
-  // limits may differ.
-  std::uint64_t version_ = 0;
-  double tokens_ = 0;
-};
-
-struct LoanReply
-{
-  std::uint64_t id_ = 0;
-  double tokens_ = 0;
-};
-
 struct LoanAsk
 {
-  // The address of the host to ask, as its registration gives it.
-  std::string peer_;
+  // Where the owner to ask receives datagrams.
+  std::string address_;
   LoanRequest request_;
 };
 
@@ -65,17 +49,12 @@
 {
 public:
   AllowanceLoans(CustomerAllowances& aAllowances,
+                 AllowanceOwners& aOwners,
                  LoanOptions aOptions,
                  std::uint64_t aSeed);
 
-  // aHosts are all registered hosts by name; those without an address for
-  // peers, those that leave and aSelf are not asked.
-  void SetHosts(const std::map<std::string, HostRecord>& aHosts,
-                const std::string& aSelf);
-  // Whether a host with this address for peers is registered.
-  bool Knows(const std::string& aPeer) const;
-  // The request to send when the host runs low on the customer's tokens.
-  std::optional<LoanAsk> Ask(const GatewayCustomer& aCustomer,
+  // The request to send when a share of this host runs low.
+  std::optional<LoanAsk> Ask(const ShareKey& aShare,
                              std::uint64_t aVersion,
                              TimePoint aNow);
   LoanReply Answer(const LoanRequest& aRequest,
@@ -85,11 +64,6 @@
   double Accept(const LoanReply& aReply, TimePoint aNow);
 
 private:
-  struct Peer
-  {
-    std::string address_;
-    std::map<std::string, double> demand_;
-  };
   struct Pending
   {
     std::uint64_t id_ = 0;
@@ -97,15 +71,16 @@
     Duration pause_{};
   };
 
-  const Peer& ChoosePeer(const std::string& aCustomer);
+  // Another share of the customer, at random; this one when there is no other.
+  ShareKey ChooseLender(const ShareKey& aShare);
   void OnNothingLent(Pending& aPending) const;
 
   CustomerAllowances& allowances_;
+  AllowanceOwners& owners_;
   LoanOptions options_;
   std::mt19937_64 random_;
-  std::vector<Peer> peers_;
-  // The last request for each customer; an id of zero has been answered.
-  std::map<std::string, Pending> pending_;
+  // The last request for each share; an id of zero has been answered.
+  std::map<ShareKey, Pending> pending_;
 };
 
 }
--- /dev/null
+++ b/src/gateway/AllowanceOwners.cc
@@ -0,0 +1,121 @@
+#include "gateway/AllowanceOwners.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace peridotsail {
+
+namespace {
+
+using Candidates = std::vector<AllowanceOwner>;
+
+bool
+SameHosts(const std::vector<Candidates>& aLeft,
+          const std::vector<Candidates>& aRight)
+{
+  const auto sameHost = [](const AllowanceOwner& aOne,
+                           const AllowanceOwner& aOther) {
+    return aOne.name_ == aOther.name_ && aOne.address_ == aOther.address_;
+  };
+  return std::equal(
+    aLeft.begin(),
+    aLeft.end(),
+    aRight.begin(),
+    aRight.end(),
+    [&](const Candidates& aOne, const Candidates& aOther) {
+      return std::equal(
+        aOne.begin(), aOne.end(), aOther.begin(), aOther.end(), sameHost);
+    });
+}
+
+}
+
+AllowanceOwners::AllowanceOwners(
+  const std::map<std::string, std::string>& aRegions,
+  const std::string& aRegion,
+  std::string aSelf)
+  : self_(std::move(aSelf))
+{
+  std::set<std::string> regions{ aRegion };
+  for (const auto& [domain, region] : aRegions) {
+    regions.insert(region);
+  }
+  regions_.assign(regions.begin(), regions.end());
+  const auto own = std::find(regions_.begin(), regions_.end(), aRegion);
+  near_ = static_cast<std::size_t>(own - regions_.begin());
+  candidates_.resize(regions_.size());
+}
+
+bool
+AllowanceOwners::SetHosts(const std::map<std::string, HostRecord>& aHosts)
+{
+  addresses_.clear();
+  Candidates staying;
+  Candidates all;
+  std::vector<Candidates> candidates(regions_.size());
+  for (const auto& [name, host] : aHosts) {
+    // A host without an address can only be the owner when it is alone.
+    if (host.peers_.empty() && aHosts.size() > 1) {
+      continue;
+    }
+    addresses_.insert(host.peers_);
+    const AllowanceOwner owner{
+      name, host.peers_, StableHash(name), name == self_
+    };
+    all.push_back(owner);
+    if (host.draining_) {
+      continue;
+    }
+    staying.push_back(owner);
+    const auto region =
+      std::find(regions_.begin(), regions_.end(), host.region_);
+    if (region != regions_.end()) {
+      candidates[static_cast<std::size_t>(region - regions_.begin())].push_back(
+        owner);
+    }
+  }
+  for (Candidates& near : candidates) {
+    if (near.empty()) {
+      near = staying.empty() ? all : staying;
+    }
+  }
+  if (SameHosts(candidates, candidates_)) {
+    return false;
+  }
+  candidates_ = std::move(candidates);
+  found_.clear();
+  return true;
+}
+
+const AllowanceOwner*
+AllowanceOwners::OwnerOf(const ShareKey& aShare)
+{
+  auto [it, added] = found_.try_emplace(aShare.customer_);
+  if (added) {
+    for (std::size_t share = 0; share < Shares(); ++share) {
+      const std::uint64_t key = StableHash(aShare.customer_, share);
+      const AllowanceOwner* best = nullptr;
+      std::uint64_t bestScore = 0;
+      for (const AllowanceOwner& owner : candidates_[share]) {
+        const std::uint64_t score = MixHash(key ^ owner.hash_);
+        if (best == nullptr || score > bestScore) {
+          best = &owner;
+          bestScore = score;
+        }
+      }
+      it->second.push_back(best);
+    }
+  }
+  return aShare.share_ < Shares() ? it->second[aShare.share_] : nullptr;
+}
+
+bool
+AllowanceOwners::OwnedHere(const ShareKey& aShare)
+{
+  const AllowanceOwner* owner = OwnerOf(aShare);
+  return owner != nullptr && owner->self_;
+}
+
+}
--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -22,14 +22,25 @@
   // Runs the task after the pause, unless the loop has ended.
   void After(Duration aPause, std::function<void(Impl&)> aTask);
   void ReadAll();
-  void ReadPage(std::size_t aPrefix, const std::string& aAfter);
-  void OnPage(std::size_t aPrefix, KvStatus aStatus, const KvItems& aItems);
+  void ReadPage(const std::string& aAfter);
+  void OnPage(KvStatus aStatus, const KvItems& aItems);
   void OnAllRead();
-  void Watch();
+  // Waits for the next changes, from the store or from a neighbour.
+  void Follow();
+  void FollowAfterPause(TimePoint aSentAt);
+  void WatchStore();
   void OnWatch(TimePoint aSentAt, KvStatus aStatus, const KvItems& aItems);
+  void AskNeighbour(const ViewSource& aSource);
+  void OnNeighbour(const ViewSource& aSource,
+                   TimePoint aSentAt,
+                   const ViewAnswer& aAnswer);
+  // Whether the answer continues this host's view without a gap.
+  bool Continues(const ViewAnswer& aAnswer) const;
+  void Confirm(TimePoint aConfirmedAt);
   // A call that was sent at aSentAt failed.
   void OnStoreFailed(KvStatus aStatus, TimePoint aSentAt);
-  void OnStoreAnswered();
+  // aBack: how long ago the store came back, when a neighbour says so.
+  void OnStoreAnswered(std::optional<Duration> aBack = std::nullopt);
   RegistrationOptions MakeRegistrationOptions();
 
   void ApplyEvents(const std::vector<KvItem>& aItems);
@@ -39,7 +50,7 @@
   void ApplyHost(const std::string& aName, const KvItem& aItem);
   void RemoveInstance(const std::string& aId);
   bool StoreReturnedLately(TimePoint aNow) const;
-  void CheckMissing();
+  void DropMissing(const std::string& aId, TimePoint aUntil);
   void Publish();
 
   asio::io_context& context_;
@@ -56,10 +67,13 @@
   std::uint64_t revision_ = 0;
   std::uint64_t firstRevision_ = 0;
   TimePoint readBegun_;
-  // What a complete read has found.
-  std::set<std::pair<Kind, std::string>> found_;
-  // Instances that are gone from the store since its return.
-  std::set<std::string> missing_;
+  // What a complete read has found so far.
+  std::vector<KvItem> read_;
+  ViewCache cache_;
+  ViewSources sources_;
+  // Instances that are gone from the store since its return, and until when
+  // they may come back.
+  std::map<std::string, TimePoint> missing_;
   bool reachable_ = true;
   TimePoint returnedAt_ = TimePoint::min();
   // The store's last answer to any call.
@@ -78,6 +92,7 @@
   , codec_(std::move(aCodec))
   , options_(std::move(aOptions))
   , hooks_(std::move(aHooks))
+  , sources_(options_.name_, options_.region_, options_.sources_)
   , registration_(aContext,
                   aStore,
                   codec_.hostKey_(options_.name_),
@@ -117,14 +132,15 @@
 }
 
 void
-ControlLoop::Impl::OnStoreAnswered()
+ControlLoop::Impl::OnStoreAnswered(std::optional<Duration> aBack)
 {
   answeredAt_ = BootClock::now();
   if (!reachable_) {
     reachable_ = true;
-    returnedAt_ = BootClock::now();
+    returnedAt_ = answeredAt_ - aBack.value_or(Duration::zero());
     LogEvent(Event::StoreReachable);
-    After(options_.returnTime_, [](Impl& aSelf) { aSelf.CheckMissing(); });
+  } else if (aBack) {
+    returnedAt_ = std::max(returnedAt_, answeredAt_ - *aBack);
   }
 }
 
@@ -140,28 +156,26 @@
 ControlLoop::Impl::ReadAll()
 {
   firstRevision_ = 0;
-  found_.clear();
+  read_.clear();
   readBegun_ = BootClock::now();
-  ReadPage(0, "");
+  ReadPage("");
 }
 
 void
-ControlLoop::Impl::ReadPage(std::size_t aPrefix, const std::string& aAfter)
+ControlLoop::Impl::ReadPage(const std::string& aAfter)
 {
-  store_.Range(options_.prefixes_[aPrefix],
-               aAfter,
-               [weak = weak_from_this(), aPrefix](KvStatus aStatus,
-                                                  const KvItems& aItems) {
-                 if (const auto self = weak.lock()) {
-                   self->OnPage(aPrefix, aStatus, aItems);
-                 }
-               });
+  store_.Range(
+    "",
+    aAfter,
+    [weak = weak_from_this()](KvStatus aStatus, const KvItems& aItems) {
+      if (const auto self = weak.lock()) {
+        self->OnPage(aStatus, aItems);
+      }
+    });
 }
 
 void
-ControlLoop::Impl::OnPage(std::size_t aPrefix,
-                          KvStatus aStatus,
-                          const KvItems& aItems)
+ControlLoop::Impl::OnPage(KvStatus aStatus, const KvItems& aItems)
 {
   if (aStatus != KvStatus::Done) {
     OnStoreFailed(aStatus, readBegun_);
@@ -172,15 +186,9 @@
   if (firstRevision_ == 0) {
     firstRevision_ = aItems.revision_;
   }
-  for (const KvItem& item : aItems.items_) {
-    const ControlCodec::Key key = codec_.classify_(item.key_);
-    found_.emplace(key.kind_, key.name_);
-    Apply(item);
-  }
+  read_.insert(read_.end(), aItems.items_.begin(), aItems.items_.end());
   if (aItems.more_ && !aItems.items_.empty()) {
-    ReadPage(aPrefix, aItems.items_.back().key_);
-  } else if (aPrefix + 1 < options_.prefixes_.size()) {
-    ReadPage(aPrefix + 1, "");
+    ReadPage(aItems.items_.back().key_);
   } else {
     OnAllRead();
   }
@@ -189,42 +197,48 @@
 void
 ControlLoop::Impl::OnAllRead()
 {
-  const auto isFound = [this](Kind aKind, const std::string& aName) {
-    return found_.count({ aKind, aName }) > 0;
-  };
-  std::vector<std::string> gone;
-  for (const auto& [id, record] : view_.instances_) {
-    if (!isFound(Kind::Instance, id)) {
-      gone.push_back(id);
-    }
-  }
-  for (const std::string& id : gone) {
-    RemoveInstance(id);
-  }
-  for (auto it = view_.hosts_.begin(); it != view_.hosts_.end();) {
-    const bool there = isFound(Kind::Host, it->first);
-    changed_ = changed_ || !there;
-    it = there ? std::next(it) : view_.hosts_.erase(it);
+  ApplyEvents(cache_.Replace(std::move(read_), firstRevision_));
+  read_.clear();
+  revision_ = std::max(revision_, firstRevision_);
+  Confirm(readBegun_);
+  Follow();
+}
+
+void
+ControlLoop::Impl::Follow()
+{
+  const TimePoint now = BootClock::now();
+  const ViewSource source =
+    hooks_.askNeighbour_ ? sources_.Next(now) : ViewSource();
+  if (source.notBefore_ > now) {
+    After(source.notBefore_ - now, [](Impl& aSelf) { aSelf.Follow(); });
+  } else if (source.IsStore()) {
+    WatchStore();
+  } else {
+    AskNeighbour(source);
   }
-  for (auto it = view_.evacuated_.begin(); it != view_.evacuated_.end();) {
-    const bool there = isFound(Kind::Evacuation, *it);
-    changed_ = changed_ || !there;
-    it = there ? std::next(it) : view_.evacuated_.erase(it);
+}
+
+void
+ControlLoop::Impl::FollowAfterPause(TimePoint aSentAt)
+{
+  const Duration spent = BootClock::now() - aSentAt;
+  if (spent >= options_.watchPause_) {
+    Follow();
+  } else {
+    After(options_.watchPause_ - spent, [](Impl& aSelf) { aSelf.Follow(); });
   }
-  revision_ = firstRevision_;
-  confirmedAt_ = readBegun_;
-  Publish();
-  Watch();
 }
 
 void
-ControlLoop::Impl::Watch()
+ControlLoop::Impl::WatchStore()
 {
   const TimePoint sentAt = BootClock::now();
+  const bool inTurn = !hooks_.askNeighbour_ || sources_.ReadsStore();
   store_.Watch(
     "",
     revision_,
-    options_.watchWait_,
+    inTurn ? options_.watchWait_ : options_.briefWait_,
     [weak = weak_from_this(), sentAt](KvStatus aStatus, const KvItems& aItems) {
       if (const auto self = weak.lock()) {
         self->OnWatch(sentAt, aStatus, aItems);
@@ -245,25 +259,87 @@
   }
   if (aStatus != KvStatus::Done) {
     OnStoreFailed(aStatus, aSentAt);
-    After(options_.retryPause_, [](Impl& aSelf) { aSelf.Watch(); });
+    sources_.Failed({}, BootClock::now());
+    Follow();
     return;
   }
   OnStoreAnswered();
+  sources_.Answered({});
   if (aItems.items_.empty() && aItems.revision_ > revision_) {
     LogEvent(Event::StoreHistoryGone, { { "revision", revision_ } });
     ReadAll();
     return;
   }
-  ApplyEvents(aItems.items_);
+  ApplyEvents(cache_.Add(aItems.items_, aItems.revision_));
   revision_ = std::max(revision_, aItems.revision_);
-  confirmedAt_ = aSentAt;
-  Publish();
-  const Duration spent = BootClock::now() - aSentAt;
-  if (spent >= options_.watchPause_) {
-    Watch();
+  Confirm(aSentAt);
+  FollowAfterPause(aSentAt);
+}
+
+void
+ControlLoop::Impl::AskNeighbour(const ViewSource& aSource)
+{
+  const TimePoint sentAt = BootClock::now();
+  hooks_.askNeighbour_(
+    aSource.address_,
+    revision_,
+    [weak = weak_from_this(), aSource, sentAt](const ViewAnswer& aAnswer) {
+      if (const auto self = weak.lock()) {
+        self->OnNeighbour(aSource, sentAt, aAnswer);
+      }
+    });
+}
+
+bool
+ControlLoop::Impl::Continues(const ViewAnswer& aAnswer) const
+{
+  const bool gap = aAnswer.events_.empty() && aAnswer.revision_ > revision_;
+  return aAnswer.status_ == KvStatus::Done && aAnswer.revision_ >= revision_ &&
+         !gap;
+}
+
+void
+ControlLoop::Impl::OnNeighbour(const ViewSource& aSource,
+                               TimePoint aSentAt,
+                               const ViewAnswer& aAnswer)
+{
+  const TimePoint now = BootClock::now();
+  if (!Continues(aAnswer)) {
+    LogEvent(Event::ViewNeighbourBehind,
+             { { "neighbour", aSource.host_ },
+               { "status", NameOf(aAnswer.status_) },
+               { "neighbour_revision", aAnswer.revision_ },
+               { "revision", revision_ } });
+    sources_.Failed(aSource, now);
+    Follow();
+    return;
+  }
+  // Counted from when this host asked, which was before the question arrived.
+  const TimePoint confirmedAt =
+    std::min(now, aSentAt + aAnswer.confirmedAfter_);
+  const bool behind = now - confirmedAt > options_.behindAge_;
+  if (behind) {
+    LogEvent(Event::ViewNeighbourBehind,
+             { { "neighbour", aSource.host_ },
+               { "age_ms", ToMilliseconds(now - confirmedAt) } });
+    sources_.Failed(aSource, now);
   } else {
-    After(options_.watchPause_ - spent, [](Impl& aSelf) { aSelf.Watch(); });
+    sources_.Answered(aSource);
+    // The store serves the neighbour, whether it serves this host or not.
+    OnStoreAnswered(aAnswer.storeBack_);
   }
+  ApplyEvents(cache_.Add(aAnswer.events_, aAnswer.revision_));
+  revision_ = aAnswer.revision_;
+  Confirm(confirmedAt);
+  FollowAfterPause(aSentAt);
+}
+
+// The view is at least as new as the store was at that time.
+void
+ControlLoop::Impl::Confirm(TimePoint aConfirmedAt)
+{
+  confirmedAt_ = std::max(confirmedAt_, aConfirmedAt);
+  Publish();
 }
 
 // Of several configurations that arrived together only the last one is read.
@@ -355,7 +431,13 @@
     return;
   }
   if (!reachable_ || StoreReturnedLately(now)) {
-    missing_.insert(aId);
+    const TimePoint until =
+      (reachable_ ? returnedAt_ : now) + options_.returnTime_;
+    // A further return does not give it more time.
+    if (missing_.try_emplace(aId, until).second) {
+      After(until - now,
+            [aId, until](Impl& aSelf) { aSelf.DropMissing(aId, until); });
+    }
     return;
   }
   view_.instances_.erase(aId);
@@ -363,16 +445,18 @@
   changed_ = true;
 }
 
-// Backend servers that did not come back after the store's return are gone.
+// A backend server that did not come back after the store's return is gone.
 void
-ControlLoop::Impl::CheckMissing()
+ControlLoop::Impl::DropMissing(const std::string& aId, TimePoint aUntil)
 {
-  for (const std::string& id : missing_) {
-    view_.instances_.erase(id);
-    view_.readAt_.erase(id);
-    changed_ = true;
+  const auto found = missing_.find(aId);
+  if (found == missing_.end() || found->second != aUntil) {
+    return;
   }
-  missing_.clear();
+  missing_.erase(found);
+  view_.instances_.erase(aId);
+  view_.readAt_.erase(aId);
+  changed_ = true;
   Publish();
 }
 
@@ -437,8 +521,12 @@
     changed_ = false;
     view_.registered_ = view_.hosts_.count(options_.name_) > 0;
     snapshot_ = std::make_shared<const FleetSnapshot>(view_);
+    sources_.SetHosts(view_.hosts_);
   }
   hooks_.onView_(snapshot_, confirmedAt_);
+  if (hooks_.onConfirmed_) {
+    hooks_.onConfirmed_(cache_, confirmedAt_, returnedAt_);
+  }
 }
 
 ControlLoop::ControlLoop(asio::io_context& aContext,
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -5,6 +5,12 @@
 // changes, and keeps this host registered under a lease. Runs on one thread,
 // which is the store's.
 //
+// The changes come from the store or from a neighbour that follows it
+// (ViewSources). A neighbour says when the store confirmed what it passes on,
+// so that the age of the view is the same promise whatever its source; all that
+// depends on the age holds unchanged. A view never goes back to an earlier
+// revision.
+//
 //   ControlLoop loop(context, store, codec, options, hooks);
 //   loop.Start();
 //   loop.SetSelf(record);     // published with the next write
@@ -12,11 +18,14 @@
 //
 // The store's history can be lost while it seems to answer. Therefore all keys
 // are followed by one watch: an answer whose revision grew without an event
-// shows a gap, after which everything is read anew.
+// shows a gap, after which everything is read anew, from the store.
 
 #include "gateway/FleetTypes.h"
 #include "gateway/HostRegistration.h"
 #include "gateway/KvStore.h"
+#include "gateway/ViewCache.h"
+#include "gateway/ViewMessages.h"
+#include "gateway/ViewSources.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -58,17 +67,22 @@
 
 struct ControlOptions
 {
-  // This host's name.
+  // This host's name and region.
   std::string name_;
-  // The prefixes that are read when the history is gone.
-  std::vector<std::string> prefixes_;
+  std::string region_;
   // The longest wait of a watch; a shorter one confirms the view more often.
-  Duration watchWait_ = std::chrono::milliseconds(1000);
+  Duration watchWait_ = std::chrono::milliseconds(800);
+  // The wait of a watch by a host whose neighbour has failed: its view needs a
+  // confirmation at once.
+  Duration briefWait_ = std::chrono::milliseconds(20);
   // The shortest time between two watches: changes that come together are read
   // together.
-  Duration watchPause_ = std::chrono::milliseconds(450);
-  // The pause after a failed call.
+  Duration watchPause_ = std::chrono::milliseconds(250);
+  // The pause after a failed complete read.
   Duration retryPause_ = std::chrono::milliseconds(150);
+  // A neighbour whose view is older is behind.
+  Duration behindAge_ = std::chrono::milliseconds(1500);
+  ViewSourceOptions sources_;
   // Backend servers whose registration lapsed while the store was away come
   // back within this time of its return.
   Duration returnTime_ = std::chrono::milliseconds(2000);
@@ -81,6 +95,17 @@
   // same snapshot comes again when only the time is new. Both come together, so
   // that the time never vouches for a snapshot that is still on its way.
   std::function<void(FleetSnapshotPtr, TimePoint aConfirmedAt)> onView_;
+  // The same for the hosts that follow this one; aStoreBackAt is when the store
+  // came back last. The cache lives as long as the loop. May be empty.
+  std::function<
+    void(const ViewCache&, TimePoint aConfirmedAt, TimePoint aStoreBackAt)>
+    onConfirmed_;
+  // Asks a neighbour for what came after a revision. When empty, only the store
+  // is asked.
+  std::function<void(const std::string& aAddress,
+                     std::uint64_t aAfterRevision,
+                     std::function<void(ViewAnswer)>)>
+    askNeighbour_;
 };
 
 class ControlLoop
--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -20,15 +20,12 @@
 std::string
 EncodeHostRecord(const HostRecord& aHost)
 {
-  json record{ { "callers", aHost.callers_ },
-               { "peers", aHost.peers_ },
-               { "failure_domain", aHost.failureDomain_ },
-               { "region", aHost.region_ },
-               { "draining", aHost.draining_ },
-               { "quarantined", aHost.quarantined_ } };
-  if (aHost.demandKnown_) {
-    record["demand"] = aHost.demand_;
-  }
+  const json record{ { "callers", aHost.callers_ },
+                     { "peers", aHost.peers_ },
+                     { "failure_domain", aHost.failureDomain_ },
+                     { "region", aHost.region_ },
+                     { "draining", aHost.draining_ },
+                     { "quarantined", aHost.quarantined_ } };
   return record.dump();
 }
 
@@ -44,10 +41,6 @@
     host.failureDomain_ = record.at("failure_domain").get<std::string>();
     host.region_ = record.at("region").get<std::string>();
     host.draining_ = record.at("draining").get<bool>();
-    host.demandKnown_ = record.contains("demand");
-    if (host.demandKnown_) {
-      host.demand_ = record.at("demand").get<std::map<std::string, double>>();
-    }
     host.quarantined_ =
       record.at("quarantined").get<std::vector<std::string>>();
     return host;
--- a/src/gateway/FleetTypes.h
+++ b/src/gateway/FleetTypes.h
@@ -38,15 +38,12 @@
   std::string name_;
   // Where callers connect, as text.
   std::string callers_;
-  // Where other hosts send requests for loans, as text.
+  // Where the host listens for other hosts, as text: datagrams about
+  // allowances, and connections that follow its view.
   std::string peers_;
   std::string failureDomain_;
   std::string region_;
   bool draining_ = false;
-  // Requests a second that callers of each customer send to this host.
-  std::map<std::string, double> demand_;
-  // The host has measured its demand; false soon after its start.
-  bool demandKnown_ = false;
   // Fingerprints of requests that this host refuses because they crash backend
   // servers.
   std::vector<std::string> quarantined_;
@@ -74,7 +71,6 @@
 
 using FleetSnapshotPtr = std::shared_ptr<const FleetSnapshot>;
 
-// The requests of callers as far as this host publishes them.
 std::string
 EncodeHostRecord(const HostRecord& aHost);
 
--- a/src/gateway/FlowContext.cc
+++ b/src/gateway/FlowContext.cc
@@ -28,11 +28,14 @@
   , options_(std::move(aOptions))
   , instances_(aInstances)
   , connections_(aContext, {})
-  , allowances_(aAllowances)
-  , loans_(allowances_, {}, std::random_device()())
-  , loanChannel_(aContext,
-                 loans_,
-                 [this] { return table_ ? table_->Version() : 0; })
+  , owners_(options_.regions_, options_.region_, options_.name_)
+  , allowances_(aAllowances, owners_)
+  , allowanceChannel_(
+      aContext,
+      owners_,
+      allowances_,
+      [this] { return table_ ? table_->Version() : 0; },
+      [this](TimePoint aNow) { return options_.viewAge_(aNow); })
   , ways_(options_.region_)
   , coldStarts_(aColdStart)
   , retries_(aRetries)
@@ -46,12 +49,20 @@
 }
 
 void
-FlowContext::SetTable(RoutingTablePtr aTable)
+FlowContext::SetView(const std::map<std::string, HostRecord>& aHosts,
+                     RoutingTablePtr aTable)
 {
+  const bool changed = owners_.SetHosts(aHosts) || aTable != table_;
   table_ = std::move(aTable);
   if (!table_) {
     return;
   }
+  if (changed) {
+    allowances_.Apply(*table_, BootClock::now());
+  }
+  if (!Ready()) {
+    return;
+  }
   std::vector<std::function<void()>> waiting;
   waiting.swap(waiting_);
   for (const auto& begin : waiting) {
--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -5,17 +5,17 @@
 
 #include "backend/Quarantine.h"
 #include "base/Metrics.h"
-#include "gateway/AllowanceLoans.h"
+#include "gateway/AllowanceChannel.h"
 #include "gateway/ColdStartLimit.h"
 #include "gateway/CustomerAllowances.h"
 #include "gateway/FleetRetryBudget.h"
 #include "gateway/InstanceChooser.h"
-#include "gateway/LoanChannel.h"
 #include "gateway/RegionWays.h"
 #include "gateway/RemoteBudget.h"
 #include "gateway/ServerExchange.h"
 
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,8 +24,10 @@
 
 struct FlowOptions
 {
-  // This host's region.
+  // This host's name and region, and the region of each failure domain.
+  std::string name_;
   std::string region_;
+  std::map<std::string, std::string> regions_;
   GatewayHeaders headers_;
   // Time since the view of the store was last confirmed; keys may have been
   // withdrawn since.
@@ -34,7 +36,7 @@
   Duration mostViewAge_{};
   // When a refusal gives no better time.
   Duration retryAfter_ = std::chrono::milliseconds(300);
-  // The longest wait for the first configuration after the start.
+  // The longest wait for the first view after the start.
   Duration startWait_ = std::chrono::milliseconds(600);
   // An attempt with less time left is not made.
   Duration leastTimeLeft_ = std::chrono::milliseconds(30);
@@ -63,17 +65,20 @@
               AllowanceOptions aAllowances,
               ColdStartOptions aColdStart,
               FleetRetryBudgetOptions aRetries);
-  // Takes over a configuration and begins the requests that waited for the
-  // first one.
-  void SetTable(RoutingTablePtr aTable);
+  // A configuration and the owners of allowances are known.
+  bool Ready() const { return table_ && owners_.Known(); }
+  // Takes over the other hosts and a configuration, which may be null, and
+  // begins the requests that waited for the first view.
+  void SetView(const std::map<std::string, HostRecord>& aHosts,
+               RoutingTablePtr aTable);
 
   asio::io_context& context_;
   FlowOptions options_;
   InstanceTable& instances_;
   ServerConnections connections_;
+  AllowanceOwners owners_;
   CustomerAllowances allowances_;
-  AllowanceLoans loans_;
-  LoanChannel loanChannel_;
+  AllowanceChannel allowanceChannel_;
   RegionWays ways_;
   RemoteBudget remoteBudget_;
   ColdStartLimit coldStarts_;
@@ -81,7 +86,7 @@
   Quarantine quarantine_;
   FlowMetrics metrics_;
   RoutingTablePtr table_;
-  // Requests that came before the first configuration, soon after the start.
+  // Requests that came before the first view, soon after the start.
   std::vector<std::function<void()>> waiting_;
   std::mt19937_64 random_;
   int inFlight_ = 0;
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -6,6 +6,7 @@
 #include "gateway/CallerListener.h"
 #include "gateway/HostOrder.h"
 #include "gateway/RequestFlow.h"
+#include "gateway/ViewFeed.h"
 #include "http/HttpServer.h"
 
 #include <algorithm>
@@ -20,7 +21,7 @@
 namespace {
 
 constexpr std::size_t kRingTasks = 4096;
-// How often measured demand is published and expired connections are closed.
+// How often quarantined requests are published and expired connections closed.
 constexpr Duration kTick = std::chrono::milliseconds(1000);
 // Keys are used for this part of the bound after the last confirmation of the
 // view. The rest covers an answer of the store that was older than its sending.
@@ -92,6 +93,7 @@
   HostRecord published_;
 
   // Owned by the control thread.
+  ViewFeed feed_;
   std::unique_ptr<KvStore> store_;
   std::unique_ptr<ControlLoop> loop_;
 
@@ -128,6 +130,7 @@
   , directoryServer_(traffic_.Context(), {}, MakeControlHandler())
   , metricsServer_(traffic_.Context(), {}, MakeControlHandler())
   , tick_(traffic_.Context())
+  , feed_(control_.Context(), {})
   , signals_(main_, SIGTERM, SIGINT, SIGHUP)
   , drainTimer_(main_)
 {
@@ -152,7 +155,9 @@
 Gateway::Impl::MakeFlowOptions()
 {
   FlowOptions options;
+  options.name_ = settings_.name_;
   options.region_ = settings_.region_;
+  options.regions_ = settings_.regions_;
   options.headers_ = adapter_.headers_;
   options.viewAge_ = [this](TimePoint aNow) { return ViewAge(aNow); };
   options.mostViewAge_ =
@@ -212,6 +217,18 @@
       LogEvent(Event::RingFull, { { "ring", "traffic" } });
     }
   };
+  if (settings_.peers_) {
+    hooks.onConfirmed_ = [this](const ViewCache& aCache,
+                                TimePoint aConfirmedAt,
+                                TimePoint aStoreBackAt) {
+      feed_.Publish(aCache, aConfirmedAt, aStoreBackAt);
+    };
+    hooks.askNeighbour_ = [this](const std::string& aAddress,
+                                 std::uint64_t aAfterRevision,
+                                 std::function<void(ViewAnswer)> aCallback) {
+      feed_.Ask(aAddress, aAfterRevision, std::move(aCallback));
+    };
+  }
   return hooks;
 }
 
@@ -220,7 +237,7 @@
 {
   ControlOptions options;
   options.name_ = settings_.name_;
-  options.prefixes_ = adapter_.prefixes_;
+  options.region_ = settings_.region_;
   options.registration_.leaseLife_ = std::max(options.registration_.leaseLife_,
                                               settings_.bounds_.shortestLease_);
   return options;
@@ -235,7 +252,8 @@
     return false;
   }
   if (settings_.peers_ &&
-      !flow_.loanChannel_.Listen(*settings_.peers_, aError)) {
+      (!flow_.allowanceChannel_.Listen(*settings_.peers_, aError) ||
+       !feed_.Listen(*settings_.peers_, aError))) {
     return false;
   }
   return !settings_.metrics_ ||
@@ -291,12 +309,7 @@
   flow_.coldStarts_.SetHosts(
     aSnapshot->registered_, HostsIn(*aSnapshot, settings_.region_), now);
   flow_.retries_.SetHosts(aSnapshot->hosts_.size());
-  if (aSnapshot->table_) {
-    flow_.allowances_.Apply(
-      *aSnapshot->table_, aSnapshot->hosts_, settings_.name_, now);
-  }
-  flow_.loans_.SetHosts(aSnapshot->hosts_, settings_.name_);
-  flow_.SetTable(aSnapshot->table_);
+  flow_.SetView(aSnapshot->hosts_, aSnapshot->table_);
 }
 
 void
@@ -309,8 +322,6 @@
     }
     const TimePoint now = BootClock::now();
     flow_.connections_.CloseExpired(now);
-    UpdateDemand(self_.demand_, flow_.allowances_.MeasureDemand(now));
-    self_.demandKnown_ = flow_.table_ != nullptr;
     self_.quarantined_ = flow_.quarantine_.Refused(now);
     droppedLines_.Set(static_cast<double>(DroppedLogLines()));
     PublishSelf();
@@ -323,9 +334,7 @@
 {
   self_.draining_ = draining_.load();
   const bool changed = self_.draining_ != published_.draining_ ||
-                       self_.quarantined_ != published_.quarantined_ ||
-                       self_.demandKnown_ != published_.demandKnown_ ||
-                       self_.demand_ != published_.demand_;
+                       self_.quarantined_ != published_.quarantined_;
   if (!changed) {
     return;
   }
@@ -339,7 +348,7 @@
 bool
 Gateway::Impl::IsReady() const
 {
-  return flow_.table_ && !draining_.load();
+  return flow_.Ready() && !draining_.load();
 }
 
 HttpServer::Handler
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -58,7 +58,8 @@
   Address readiness_;
   Address directory_;
   std::optional<Address> metrics_;
-  // For datagrams between hosts; without it no tokens are lent.
+  // For other hosts: datagrams about allowances and connections that follow the
+  // view. A host without it does both for itself alone.
   std::optional<Address> peers_;
   std::size_t mostDescriptors_ = 1024;
   FleetBounds bounds_;
@@ -69,8 +70,6 @@
 {
   GatewayHeaders headers_;
   ControlCodec codec_;
-  // What the store's history covers: the prefixes of all keys in use.
-  std::vector<std::string> prefixes_;
   // Makes the client of the store on the control thread's context.
   std::function<std::unique_ptr<KvStore>(boost::asio::io_context&)> makeStore_;
   // Whether a request asks if this host is ready.
--- a/src/gateway/HostRegistration.h
+++ b/src/gateway/HostRegistration.h
@@ -21,8 +21,9 @@
 struct RegistrationOptions
 {
   // After a host's end its record stays for this long.
-  Duration leaseLife_ = std::chrono::seconds(3);
-  Duration leaseRenewal_ = std::chrono::milliseconds(1000);
+  Duration leaseLife_ = std::chrono::seconds(4);
+  // Two renewals may fail before the lease ends.
+  Duration leaseRenewal_ = std::chrono::milliseconds(1300);
   // The shortest time between two writes.
   Duration publishPause_ = std::chrono::milliseconds(1000);
   // Runs when the store answers a renewal of the lease. May be empty.
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -51,16 +51,16 @@
     self->Admit();
   };
   first_ = caller_->IsFirst();
-  if (flow_.table_) {
+  if (flow_.Ready()) {
     Admit();
   } else {
-    WaitForTable();
+    WaitForView();
   }
   return handling;
 }
 
 void
-RequestFlow::WaitForTable()
+RequestFlow::WaitForView()
 {
   flow_.waiting_.push_back([self = shared_from_this()] {
     self->timer_.cancel();
@@ -69,7 +69,7 @@
   timer_.expires_after(ToSteady(flow_.options_.startWait_));
   timer_.async_wait([self = shared_from_this()](ErrorCode aError) {
     if (!aError && !self->begun_) {
-      self->Refuse(503, "no-configuration", self->flow_.options_.retryAfter_);
+      self->Refuse(503, "no-view", self->flow_.options_.retryAfter_);
     }
   });
 }
@@ -79,7 +79,7 @@
 void
 RequestFlow::Admit()
 {
-  if (begun_ || finished_ || !flow_.table_ || !FindRoute()) {
+  if (begun_ || finished_ || !flow_.Ready() || !FindRoute()) {
     return;
   }
   if (IsIdempotent(route_->kind_) || first_) {
@@ -94,14 +94,11 @@
     return;
   }
   begun_ = true;
-  if (!FindRoute() || !CheckKey() || !CheckQuarantine() || !CheckAllowance()) {
+  if (!FindRoute() || !CheckKey() || !CheckQuarantine()) {
     return;
   }
-  ChooseService();
   SetDeadline();
-  body_ = std::make_shared<const std::string>(caller_->Request().body_);
-  flow_.retries_.RecordRequest(service_, BootClock::now());
-  Attempt();
+  AskAllowance();
 }
 
 bool
@@ -169,27 +166,56 @@
   return true;
 }
 
-bool
-RequestFlow::CheckAllowance()
+void
+RequestFlow::AskAllowance()
 {
   if (customer_ == nullptr) {
-    return true;
+    Proceed();
+    return;
   }
-  const Admission admission =
-    flow_.allowances_.TryTake(*customer_, BootClock::now());
-  if (!admission.admitted_) {
-    LogEvent(Event::AllowanceUsedUp,
-             { { "request", requestId_ },
-               { "customer", customer_->name_ },
-               { "customer_rate", customer_->ratePerSecond_ },
-               { "customer_burst", customer_->burst_ },
-               { "host_rate", admission.rate_ },
-               { "version", table_->Version() } });
-    Refuse(429, "allowance-used-up", admission.retryAfter_);
+  flow_.allowanceChannel_.Admit(
+    *customer_, [self = shared_from_this()](const Admission& aAdmission) {
+      self->OnAdmission(aAdmission);
+    });
+}
+
+void
+RequestFlow::OnAdmission(const Admission& aAdmission)
+{
+  const bool admitted = aAdmission.result_ == AdmissionResult::Admitted;
+  if (finished_) {
+    if (admitted) {
+      flow_.allowanceChannel_.GiveBack(customer_->name_);
+    }
+    return;
+  }
+  if (admitted) {
+    charged_ = true;
+    Proceed();
+    return;
   }
-  charged_ = admission.admitted_;
-  flow_.loanChannel_.OnTaken(*customer_);
-  return admission.admitted_;
+  LogEvent(Event::AllowanceUsedUp,
+           { { "request", requestId_ },
+             { "customer", customer_->name_ },
+             { "customer_rate", customer_->ratePerSecond_ },
+             { "customer_burst", customer_->burst_ },
+             { "result", NameOf(aAdmission.result_) },
+             { "wait_ms", ToMilliseconds(aAdmission.retryAfter_) },
+             { "version", table_->Version() } });
+  if (aAdmission.result_ == AdmissionResult::UsedUp) {
+    Refuse(429, "allowance-used-up", aAdmission.retryAfter_);
+  } else {
+    Refuse(503, "no-allowance-owner", flow_.options_.retryAfter_);
+  }
+}
+
+void
+RequestFlow::Proceed()
+{
+  ChooseService();
+  body_ = std::make_shared<const std::string>(caller_->Request().body_);
+  flow_.retries_.RecordRequest(service_, BootClock::now());
+  Attempt();
 }
 
 void
@@ -537,7 +563,7 @@
   const TimePoint now = BootClock::now();
   // A request that did not run takes nothing from its customer.
   if (charged_ && aAnswer.status_ == 503) {
-    flow_.allowances_.Give(customer_->name_, 1, now);
+    flow_.allowanceChannel_.GiveBack(customer_->name_);
   }
   const Duration elapsed = now - caller_->Request().arrivedAt_;
   flow_.metrics_.latency_.Observe(elapsed);
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -22,18 +22,22 @@
 public:
   RequestFlow(FlowContext& aContext, std::shared_ptr<CallerExchange> aCaller);
   ~RequestFlow();
-  // Begins, or waits for the first configuration, and returns how the
+  // Begins, or waits for the first view, and returns how the
   // connection tells of its changes.
   CallerHooks::Handling Start();
 
 private:
   void Admit();
-  void WaitForTable();
+  void WaitForView();
   void Begin();
   bool FindRoute();
   bool CheckKey();
-  bool CheckAllowance();
   bool CheckQuarantine();
+  // Asks for a token of the customer's allowance.
+  void AskAllowance();
+  void OnAdmission(const Admission& aAdmission);
+  // Begins with the attempts at backend servers.
+  void Proceed();
   void ChooseService();
   void SetDeadline();
   void Attempt();
--- /dev/null
+++ b/src/gateway/ViewFeed.cc
@@ -0,0 +1,250 @@
+#include "gateway/ViewFeed.h"
+
+#include "base/EventLog.h"
+#include "http/BeastTypes.h"
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+
+#include <charconv>
+#include <list>
+
+namespace peridotsail {
+
+using namespace detail;
+
+namespace {
+
+constexpr std::string_view kPath = "/view";
+constexpr const char* kAfter = "after";
+// A store that came back longer ago is of no interest to a follower.
+constexpr Duration kStoreBackLife = std::chrono::seconds(10);
+
+std::optional<std::uint64_t>
+ToNumber(const std::string& aText)
+{
+  std::uint64_t number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+}
+
+struct ViewFeed::Impl : public std::enable_shared_from_this<Impl>
+{
+  struct Question
+  {
+    std::uint64_t after_ = 0;
+    TimePoint arrivedAt_;
+    std::shared_ptr<HttpReply> reply_;
+  };
+
+  Impl(asio::io_context& aContext, ViewFeedOptions aOptions)
+    : options_(aOptions)
+    , client_(aContext, {})
+    , timer_(aContext)
+  {
+  }
+
+  void OnQuestion(const HttpRequest& aRequest,
+                  const std::shared_ptr<HttpReply>& aReply);
+  bool HasNews(const Question& aQuestion) const;
+  void Answer(const Question& aQuestion);
+  void AnswerAll();
+  void SetTimer();
+  void OnAnswer(const std::string& aAddress,
+                const std::optional<HttpResponse>& aResponse,
+                const Error& aError,
+                const Callback& aCallback);
+
+  ViewFeedOptions options_;
+  HttpClient client_;
+  asio::steady_timer timer_;
+  // In the order of their arrival.
+  std::list<Question> waiting_;
+  const ViewCache* cache_ = nullptr;
+  TimePoint confirmedAt_ = TimePoint::min();
+  TimePoint storeBackAt_ = TimePoint::min();
+  std::unique_ptr<HttpServer> server_;
+};
+
+void
+ViewFeed::Impl::OnQuestion(const HttpRequest& aRequest,
+                           const std::shared_ptr<HttpReply>& aReply)
+{
+  const auto after =
+    ToNumber(QueryParameter(aRequest.target_, kAfter).value_or(""));
+  if (PathOf(aRequest.target_) != kPath || !after) {
+    aReply->Send({ 404, {}, "" });
+    return;
+  }
+  const Question question{ *after, BootClock::now(), aReply };
+  const bool now =
+    HasNews(question) || waiting_.size() >= options_.mostWaiting_;
+  if (now) {
+    Answer(question);
+    return;
+  }
+  waiting_.push_back(question);
+  if (waiting_.size() == 1) {
+    SetTimer();
+  }
+}
+
+bool
+ViewFeed::Impl::HasNews(const Question& aQuestion) const
+{
+  return cache_ != nullptr && cache_->Revision() > aQuestion.after_;
+}
+
+void
+ViewFeed::Impl::Answer(const Question& aQuestion)
+{
+  if (cache_ == nullptr || confirmedAt_ == TimePoint::min()) {
+    aQuestion.reply_->Send({ 503, {}, "" });
+    return;
+  }
+  ViewAnswer answer;
+  auto events = cache_->Since(aQuestion.after_);
+  answer.status_ = events ? KvStatus::Done : KvStatus::Gone;
+  answer.events_ = std::move(events).value_or(std::vector<KvItem>());
+  answer.revision_ = cache_->Revision();
+  answer.confirmedAfter_ = confirmedAt_ - aQuestion.arrivedAt_;
+  const TimePoint now = BootClock::now();
+  if (storeBackAt_ != TimePoint::min() && now - storeBackAt_ < kStoreBackLife) {
+    answer.storeBack_ = now - storeBackAt_;
+  }
+  aQuestion.reply_->Send({ 200,
+                           { { "Content-Type", "application/cbor" } },
+                           EncodeViewAnswer(answer) });
+}
+
+void
+ViewFeed::Impl::AnswerAll()
+{
+  std::list<Question> waiting;
+  waiting.swap(waiting_);
+  for (const Question& question : waiting) {
+    Answer(question);
+  }
+}
+
+// One timer for the question that has waited longest.
+void
+ViewFeed::Impl::SetTimer()
+{
+  if (waiting_.empty()) {
+    return;
+  }
+  const TimePoint end = waiting_.front().arrivedAt_ + options_.wait_;
+  timer_.expires_after(
+    ToSteady(std::max(Duration::zero(), end - BootClock::now())));
+  timer_.async_wait([weak = weak_from_this()](ErrorCode aError) {
+    const auto self = weak.lock();
+    if (!self || aError) {
+      return;
+    }
+    const TimePoint now = BootClock::now();
+    while (!self->waiting_.empty() &&
+           now - self->waiting_.front().arrivedAt_ >= self->options_.wait_) {
+      const Question question = self->waiting_.front();
+      self->waiting_.pop_front();
+      self->Answer(question);
+    }
+    self->SetTimer();
+  });
+}
+
+void
+ViewFeed::Impl::OnAnswer(const std::string& aAddress,
+                         const std::optional<HttpResponse>& aResponse,
+                         const Error& aError,
+                         const Callback& aCallback)
+{
+  const int status = aResponse ? aResponse->status_ : 0;
+  const auto answer = status == 200 ? DecodeViewAnswer(aResponse->body_)
+                                    : std::optional<ViewAnswer>();
+  if (!answer) {
+    LogEvent(
+      Event::ViewNeighbourFailed,
+      { { "neighbour", aAddress },
+        { "status", status },
+        { "reason", aResponse ? "not a usable answer" : aError.detail_ } });
+  }
+  aCallback(answer.value_or(ViewAnswer()));
+}
+
+ViewFeed::ViewFeed(asio::io_context& aContext, ViewFeedOptions aOptions)
+  : impl_(std::make_shared<Impl>(aContext, aOptions))
+{
+  // Connections of followers may outlive the feed.
+  impl_->server_ = std::make_unique<HttpServer>(
+    aContext,
+    HttpServerOptions(),
+    [weak = std::weak_ptr<Impl>(impl_)](
+      const HttpRequest& aRequest, const std::shared_ptr<HttpReply>& aReply) {
+      if (const auto self = weak.lock()) {
+        self->OnQuestion(aRequest, aReply);
+      } else {
+        aReply->Abort();
+      }
+    });
+}
+
+ViewFeed::~ViewFeed() = default;
+
+bool
+ViewFeed::Listen(const Address& aAddress, Error& aError)
+{
+  return impl_->server_->Listen(aAddress, aError);
+}
+
+std::uint16_t
+ViewFeed::Port() const
+{
+  return impl_->server_->Port();
+}
+
+void
+ViewFeed::Publish(const ViewCache& aCache,
+                  TimePoint aConfirmedAt,
+                  TimePoint aStoreBackAt)
+{
+  impl_->cache_ = &aCache;
+  impl_->confirmedAt_ = aConfirmedAt;
+  impl_->storeBackAt_ = aStoreBackAt;
+  impl_->AnswerAll();
+}
+
+void
+ViewFeed::Ask(const std::string& aAddress,
+              std::uint64_t aAfterRevision,
+              Callback aCallback)
+{
+  const auto address = ParseAddress(aAddress);
+  if (!address) {
+    impl_->OnAnswer(aAddress,
+                    std::nullopt,
+                    { ErrorKind::PeerUnreachable, "not an address" },
+                    aCallback);
+    return;
+  }
+  HttpRequest request;
+  request.target_ =
+    std::string(kPath) + "?" + kAfter + "=" + std::to_string(aAfterRevision);
+  impl_->client_.Call(
+    *address,
+    request,
+    impl_->options_.wait_ + impl_->options_.timeout_,
+    [weak = std::weak_ptr<Impl>(impl_),
+     aAddress,
+     callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
+                                      const Error& aError) {
+      if (const auto self = weak.lock()) {
+        self->OnAnswer(aAddress, aResponse, aError, callback);
+      }
+    });
+}
+
+}
--- /dev/null
+++ b/src/gateway/ViewMessages.cc
@@ -0,0 +1,101 @@
+#include "gateway/ViewMessages.h"
+
+#include "base/BoundedCbor.h"
+
+#include <nlohmann/json.hpp>
+
+namespace peridotsail {
+
+using nlohmann::json;
+
+namespace {
+
+// A map with a list of maps.
+constexpr int kDepth = 4;
+
+std::int64_t
+ToMicroseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aDuration)
+    .count();
+}
+
+Duration
+ReadMicroseconds(const json& aMessage, const char* aField)
+{
+  return std::chrono::microseconds(aMessage.at(aField).get<std::int64_t>());
+}
+
+// Values are bytes, not text.
+json
+ToJson(const KvItem& aItem)
+{
+  json item{ { "key", aItem.key_ }, { "revision", aItem.revision_ } };
+  if (!aItem.removed_) {
+    item["value"] = json::binary(
+      std::vector<std::uint8_t>(aItem.value_.begin(), aItem.value_.end()));
+  }
+  return item;
+}
+
+KvItem
+ToItem(const json& aItem)
+{
+  KvItem item;
+  item.key_ = aItem.at("key").get<std::string>();
+  item.revision_ = aItem.at("revision").get<std::uint64_t>();
+  item.removed_ = !aItem.contains("value");
+  if (!item.removed_) {
+    const json::binary_t& bytes = aItem.at("value").get_binary();
+    item.value_.assign(bytes.begin(), bytes.end());
+  }
+  return item;
+}
+
+}
+
+std::string
+EncodeViewAnswer(const ViewAnswer& aAnswer)
+{
+  json message{ { "gone", aAnswer.status_ == KvStatus::Gone },
+                { "revision", aAnswer.revision_ },
+                { "confirmed_us", ToMicroseconds(aAnswer.confirmedAfter_) } };
+  if (aAnswer.storeBack_) {
+    message["store_back_us"] = ToMicroseconds(*aAnswer.storeBack_);
+  }
+  json events = json::array();
+  for (const KvItem& event : aAnswer.events_) {
+    events.push_back(ToJson(event));
+  }
+  message["events"] = std::move(events);
+  std::string bytes;
+  json::to_cbor(message, bytes);
+  return bytes;
+}
+
+std::optional<ViewAnswer>
+DecodeViewAnswer(const std::string& aBytes)
+{
+  try {
+    const std::optional<json> message = DecodeBoundedCbor(aBytes, kDepth);
+    if (!message || !message->is_object()) {
+      return std::nullopt;
+    }
+    ViewAnswer answer;
+    const bool gone = message->at("gone").get<bool>();
+    answer.status_ = gone ? KvStatus::Gone : KvStatus::Done;
+    answer.revision_ = message->at("revision").get<std::uint64_t>();
+    answer.confirmedAfter_ = ReadMicroseconds(*message, "confirmed_us");
+    if (message->contains("store_back_us")) {
+      answer.storeBack_ = ReadMicroseconds(*message, "store_back_us");
+    }
+    for (const json& event : message->at("events")) {
+      answer.events_.push_back(ToItem(event));
+    }
+    return answer;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}
--- /dev/null
+++ b/src/gateway/ViewMessages.h
@@ -0,0 +1,36 @@
+#pragma once
+
+// What a host answers to one that follows its view, in CBOR.
+
+#include "gateway/KvStore.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+struct ViewAnswer
+{
+  // Done; Gone: the events are no longer kept; Unknown: no usable answer.
+  KvStatus status_ = KvStatus::Unknown;
+  // Everything after the revision that the follower stated, up to revision_.
+  std::vector<KvItem> events_;
+  std::uint64_t revision_ = 0;
+  // When the view was last confirmed by the store, counted from the arrival of
+  // the question; negative: before it. A follower that counts from when it
+  // asked, which was earlier, never takes the view for newer than it is.
+  Duration confirmedAfter_{};
+  // How long ago the store came back, when that was a moment ago.
+  std::optional<Duration> storeBack_;
+};
+
+std::string
+EncodeViewAnswer(const ViewAnswer& aAnswer);
+
+// Nothing from malformed bytes.
+std::optional<ViewAnswer>
+DecodeViewAnswer(const std::string& aBytes);
+
+}
--- /dev/null
+++ b/src/gateway/ViewSources.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// From where a host learns what is in the store: from the store itself, or from
+// a neighbour that has it from there. The staying hosts of a region form a tree
+// in rendezvous order, which all of them see alike: the first one reads the
+// store, and each other one follows the host above it. A host whose neighbour
+// fails or is behind reads the store itself, and when the store fails too, asks
+// others of its region: the store may turn away some hosts and serve the rest.
+//
+// Pure.
+//
+//   ViewSources sources("host-1", "eu-west", options);
+//   sources.SetHosts(snapshot.hosts_);
+//   ViewSource source = sources.Next(now);
+//   sources.Failed(source, now);   // or Answered(source)
+
+#include "gateway/FleetTypes.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+struct ViewSourceOptions
+{
+  // Hosts that follow one host.
+  std::size_t followers_ = 16;
+  // A neighbour that failed or was behind is left alone for so long.
+  Duration neighbourPause_ = std::chrono::milliseconds(2000);
+  // The same for the store, at a host that reads it in turn, and at the others:
+  // when the store is out, they must not all call it all the time.
+  Duration storePause_ = std::chrono::milliseconds(150);
+  Duration followerStorePause_ = std::chrono::milliseconds(1000);
+  // Other neighbours that are tried.
+  std::size_t others_ = 3;
+};
+
+struct ViewSource
+{
+  // Both empty: the store.
+  std::string host_;
+  std::string address_;
+  // All sources are paused until then.
+  TimePoint notBefore_ = TimePoint::min();
+
+  bool IsStore() const { return host_.empty(); }
+};
+
+class ViewSources
+{
+public:
+  ViewSources(std::string aSelf,
+              std::string aRegion,
+              ViewSourceOptions aOptions);
+
+  void SetHosts(const std::map<std::string, HostRecord>& aHosts);
+  // The first host of the region reads the store.
+  bool ReadsStore() const { return sources_.front().IsStore(); }
+  ViewSource Next(TimePoint aNow) const;
+  void Answered(const ViewSource& aSource);
+  void Failed(const ViewSource& aSource, TimePoint aNow);
+
+private:
+  std::string self_;
+  std::string region_;
+  ViewSourceOptions options_;
+  // In the order of preference.
+  std::vector<ViewSource> sources_;
+  // By host name.
+  std::map<std::string, TimePoint> pausedUntil_;
+};
+
+}
--- a/src/gateway/testing/AllowanceFleet.h
+++ b/src/gateway/testing/AllowanceFleet.h
@@ -1,18 +1,25 @@
 #pragma once
 
-// Hosts that share a customer's allowance: they publish their demand, read that
-// of the others, and, on request, lend each other tokens through messages that
-// take time and may be lost, doubled or late.
-
+// Hosts of three regions that admit the requests of customers together, with
+// messages that take time and may be lost, doubled or late, and with hosts that
+// are killed, frozen, cut off or added. Each host learns of a change of the
+// fleet at a time of its own.
+//
+//   AllowanceFleet fleet(table, 35, seed);
+//   fleet.Request(host, 0, now);   // of the first customer
+//   fleet.RunUntil(30);
+//   fleet.Admitted(0); fleet.Counts().refused_;
+
+#include "gateway/AllowanceGate.h"
 #include "gateway/AllowanceLoans.h"
 
-#include <algorithm>
-#include <deque>
+#include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace peridotsail {
@@ -25,169 +32,112 @@
 
 // The most admissions in any window of the length, in seconds; the times are
 // in order.
-inline double
-MostInWindow(const std::vector<double>& aAdmitted, double aWindow)
-{
-  std::size_t most = 0;
-  std::size_t end = 0;
-  for (std::size_t begin = 0; begin < aAdmitted.size(); ++begin) {
-    while (end < aAdmitted.size() &&
-           aAdmitted[end] < aAdmitted[begin] + aWindow) {
-      ++end;
-    }
-    most = std::max(most, end - begin);
-  }
-  return static_cast<double>(most);
-}
+double
+MostInWindow(const std::vector<double>& aAdmitted, double aWindow);
 
-// A configuration with one customer.
-inline RoutingTablePtr
-MakeAllowanceTable(double aRate, double aBurst)
-{
-  RoutingTableParts parts;
-  GatewayCustomer customer;
-  customer.name_ = "school";
-  customer.ratePerSecond_ = aRate;
-  customer.burst_ = aBurst;
-  parts.customers_.push_back(customer);
-  return std::make_shared<const RoutingTable>(parts);
-}
+// A configuration with customers of these rates; each burst is one second of
+// the rate.
+RoutingTablePtr
+MakeAllowanceTable(const std::vector<double>& aRates);
 
-struct LoanFaults
+struct FleetFaults
 {
   double lost_ = 0;
   double doubled_ = 0;
-  // The longest way of a message; half of them take less than a tenth of it.
-  double longestSeconds_ = 0.06;
+  // The longest addition to the way of a message, for one in ten.
+  double lateSeconds_ = 0;
 };
 
-struct AllowanceFleet
+struct FleetCounts
 {
-  struct Message
-  {
-    std::size_t from_ = 0;
-    std::size_t to_ = 0;
-    std::variant<LoanRequest, LoanReply> body_;
-  };
-
-  AllowanceFleet(int aHosts, std::uint64_t aSeed)
-    : random_(aSeed)
-  {
-    for (int i = 0; i < aHosts; ++i) {
-      Join();
-    }
-  }
-
-  static AllowanceOptions Options()
-  {
-    AllowanceOptions options;
-    options.overage_ = 0.1;
-    options.slack_ = 20;
-    return options;
-  }
-
-  static std::string Name(std::size_t aHost)
-  {
-    return "h" + std::to_string(aHost);
-  }
-
-  void Join()
-  {
-    const std::size_t host = allowances_.size();
-    allowances_.emplace_back(Options());
-    loans_.emplace_back(allowances_.back(), LoanOptions(), random_());
-    records_[Name(host)].peers_ = std::to_string(host);
-  }
-
-  void Restart(std::size_t aHost)
-  {
-    allowances_[aHost] = CustomerAllowances(Options());
-  }
-
-  // New processes, which register before they have measured anything.
-  void RestartAll()
-  {
-    for (std::size_t i = 0; i < allowances_.size(); ++i) {
-      Restart(i);
-      HostRecord& record = records_[Name(i)];
-      record.demand_.clear();
-      record.demandKnown_ = false;
-    }
-    messages_.clear();
-  }
+  // Not counted: requests at hosts that are cut off.
+  int asked_ = 0;
+  int refused_ = 0;
+  int messages_ = 0;
+  // Requests that waited longer than a way to another region and back.
+  int slow_ = 0;
+};
 
-  void Publish(std::size_t aHost, double aNow)
-  {
-    HostRecord& record = records_[Name(aHost)];
-    UpdateDemand(record.demand_,
-                 allowances_[aHost].MeasureDemand(FleetTime(aNow)));
-    record.demandKnown_ = true;
-  }
+class AllowanceFleet
+{
+public:
+  AllowanceFleet(RoutingTablePtr aTable, int aHosts, std::uint64_t aSeed);
 
-  void Step(const RoutingTable& aTable, double aNow, bool aPublish)
-  {
-    for (std::size_t i = 0; aPublish && i < allowances_.size(); ++i) {
-      Publish(i, aNow);
-    }
-    for (std::size_t i = 0; i < allowances_.size(); ++i) {
-      allowances_[i].Apply(aTable, records_, Name(i), FleetTime(aNow));
-      loans_[i].SetHosts(records_, Name(i));
-    }
-  }
+  static AllowanceOptions Options();
+  // The bound on a customer's admissions in any window.
+  static double Bound(const GatewayCustomer& aCustomer);
 
-  bool TryTake(std::size_t aHost, const GatewayCustomer& aCustomer, double aNow)
+  const GatewayCustomer& Customer(std::size_t aCustomer) const
   {
-    Deliver(aNow);
-    const TimePoint now = FleetTime(aNow);
-    const bool admitted = allowances_[aHost].TryTake(aCustomer, now).admitted_;
-    if (lends_) {
-      if (const auto ask = loans_[aHost].Ask(aCustomer, 1, now)) {
-        Send({ aHost, std::stoul(ask->peer_), ask->request_ }, aNow);
-      }
-    }
-    return admitted;
+    return table_->Customers()[aCustomer];
   }
-
-  void Send(const Message& aMessage, double aNow)
+  std::size_t Hosts() const { return hosts_.size(); }
+  // The host that owns the share of a region in the view of another host.
+  std::size_t OwnerOf(std::size_t aCustomer, std::size_t aShare);
+
+  void Request(std::size_t aHost, std::size_t aCustomer, double aNow);
+  // Delivers messages and timeouts up to the time.
+  void RunUntil(double aNow);
+
+  void Join();
+  // The process ends at once; its registration is gone aLapse later.
+  void Kill(std::size_t aHost, double aLapse = 4);
+  // A new process on the host of a killed one.
+  void Start(std::size_t aHost);
+  void StartIfKilled(std::size_t aHost);
+  // Messages to the host wait, and it does nothing, until the time.
+  void Freeze(std::size_t aHost, double aUntil);
+  // No message reaches the host or comes from it, and it does not see the
+  // store: its registration lapses as that of a killed one.
+  void Cut(std::size_t aHost, double aUntil, double aLapse = 4);
+
+  void SetFaults(FleetFaults aFaults) { faults_ = aFaults; }
+  const std::vector<double>& Admitted(std::size_t aCustomer) const
   {
-    std::uniform_real_distribution<double> part(0, 1);
-    if (part(random_) < faults_.lost_) {
-      return;
-    }
-    const int copies = part(random_) < faults_.doubled_ ? 2 : 1;
-    for (int i = 0; i < copies; ++i) {
-      const bool quick = part(random_) < 0.5;
-      const double way =
-        faults_.longestSeconds_ * part(random_) * (quick ? 0.1 : 1);
-      messages_.emplace(aNow + way, aMessage);
-    }
+    return admitted_[aCustomer];
   }
+  FleetCounts& Counts() { return counts_; }
 
-  void Deliver(double aNow)
+private:
+  struct Host
   {
-    while (!messages_.empty() && messages_.begin()->first <= aNow) {
-      const auto [at, message] = *messages_.begin();
-      messages_.erase(messages_.begin());
-      const TimePoint time = FleetTime(at);
-      AllowanceLoans& loans = loans_[message.to_];
-      if (const auto* request = std::get_if<LoanRequest>(&message.body_)) {
-        Send({ message.to_, message.from_, loans.Answer(*request, 1, time) },
-             at);
-      } else {
-        lent_ += loans.Accept(std::get<LoanReply>(message.body_), time);
-      }
-    }
-  }
+    std::unique_ptr<AllowanceOwners> owners_;
+    std::unique_ptr<CustomerAllowances> allowances_;
+    std::unique_ptr<AllowanceLoans> loans_;
+    std::unique_ptr<AllowanceGate> gate_;
+    bool alive_ = true;
+    double frozenUntil_ = 0;
+    double cutSince_ = 0;
+    double cutUntil_ = 0;
+    // Changes with each process, so that messages to an old one are dropped.
+    int process_ = 0;
+  };
 
+  static std::string Name(std::size_t aHost);
+  HostRecord RecordOf(std::size_t aHost) const;
+  void MakeProcess(std::size_t aHost);
+  void Post(double aAt, std::function<void()> aTask);
+  // All hosts see the registrations as they are now, each a little later.
+  void Announce();
+  void Register(std::size_t aHost, bool aThere);
+  void Send(std::size_t aFrom, std::size_t aTo, AllowanceMessage aMessage);
+  void Deliver(std::size_t aFrom, std::size_t aTo, const AllowanceMessage&);
+  void Finish(std::size_t aCustomer,
+              double aSince,
+              const Admission& aAdmission,
+              bool aCounted);
+  bool Cut(const Host& aHost) const { return now_ < aHost.cutUntil_; }
+
+  RoutingTablePtr table_;
   std::mt19937_64 random_;
-  std::deque<CustomerAllowances> allowances_;
-  std::deque<AllowanceLoans> loans_;
+  std::vector<Host> hosts_;
   std::map<std::string, HostRecord> records_;
-  std::multimap<double, Message> messages_;
-  LoanFaults faults_;
-  bool lends_ = true;
-  // Tokens that borrowers took over.
-  double lent_ = 0;
+  std::multimap<double, std::function<void()>> tasks_;
+  std::vector<std::vector<double>> admitted_;
+  FleetFaults faults_;
+  FleetCounts counts_;
+  double now_ = 0;
+  double nextTick_ = 0;
 };
 
 }
--- /dev/null
+++ b/src/gateway/testing/ViewTest.cc
@@ -0,0 +1,336 @@
+#include "gateway/ViewCache.h"
+#include "gateway/ViewMessages.h"
+#include "gateway/ViewSources.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+
+using namespace peridotsail;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+
+TimePoint
+At(double aSeconds)
+{
+  return TimePoint() + FromSeconds(aSeconds + 1000);
+}
+
+std::string
+NameOf(int aHost)
+{
+  return "h" + std::to_string(aHost);
+}
+
+std::map<std::string, HostRecord>
+MakeHosts(int aHosts, const std::string& aRegion)
+{
+  std::map<std::string, HostRecord> hosts;
+  for (int i = 0; i < aHosts; ++i) {
+    HostRecord record;
+    record.name_ = NameOf(i);
+    record.region_ = aRegion;
+    record.peers_ = record.name_ + ":1";
+    hosts[record.name_] = record;
+  }
+  return hosts;
+}
+
+ViewSources
+SourcesOf(const std::string& aSelf,
+          const std::map<std::string, HostRecord>& aHosts)
+{
+  ViewSources sources(aSelf, "east", {});
+  sources.SetHosts(aHosts);
+  return sources;
+}
+
+KvItem
+Item(const std::string& aKey, std::uint64_t aRevision, bool aRemoved = false)
+{
+  KvItem item;
+  item.key_ = aKey;
+  item.value_ = aRemoved ? "" : "value " + std::to_string(aRevision);
+  item.revision_ = aRevision;
+  item.removed_ = aRemoved;
+  return item;
+}
+
+}
+
+// Guards against hosts that each read the store, and against one that has to
+// answer the whole fleet.
+TEST_CASE("One host of a region reads the store and few follow each host")
+{
+  const int size = GENERATE(1, 2, 13, 39, 200);
+  auto hosts = MakeHosts(size, "east");
+  HostRecord other;
+  other.name_ = "far";
+  other.region_ = "west";
+  other.peers_ = "far:1";
+  hosts["far"] = other;
+  int readers = 0;
+  std::map<std::string, std::size_t> followers;
+  for (int i = 0; i < size; ++i) {
+    const ViewSource source = SourcesOf(NameOf(i), hosts).Next(At(0));
+    readers += source.IsStore() ? 1 : 0;
+    if (!source.IsStore()) {
+      ++followers[source.host_];
+      CHECK(hosts.at(source.host_).peers_ == source.address_);
+    }
+  }
+  CHECK(readers == 1);
+  CHECK(followers.count("far") == 0);
+  for (const auto& [host, count] : followers) {
+    CHECK(count <= ViewSourceOptions().followers_);
+  }
+}
+
+// Guards against hosts that follow each other in a circle and never hear of the
+// store.
+TEST_CASE("Each host's view comes from the store in a few steps")
+{
+  const auto hosts = MakeHosts(200, "east");
+  for (int i = 0; i < 200; ++i) {
+    ViewSource source = SourcesOf(NameOf(i), hosts).Next(At(0));
+    int steps = 0;
+    while (!source.IsStore() && steps < 10) {
+      source = SourcesOf(source.host_, hosts).Next(At(0));
+      ++steps;
+    }
+    CHECK(steps <= 3);
+  }
+}
+
+// Guards against a host without a usable source.
+TEST_CASE("A host goes on to the store and to others when a source fails")
+{
+  const auto hosts = MakeHosts(13, "east");
+  int follower = 0;
+  while (SourcesOf(NameOf(follower), hosts).ReadsStore()) {
+    ++follower;
+  }
+  ViewSources sources = SourcesOf(NameOf(follower), hosts);
+  const ViewSource first = sources.Next(At(0));
+  REQUIRE_FALSE(first.IsStore());
+  sources.Failed(first, At(0));
+  CHECK(sources.Next(At(0)).IsStore());
+  SECTION("it returns to the neighbour after a while")
+  {
+    CHECK(sources.Next(At(1.9)).IsStore());
+    CHECK(sources.Next(At(2)).host_ == first.host_);
+  }
+  SECTION("it asks others while the store turns it away")
+  {
+    sources.Failed({}, At(0));
+    std::set<std::string> asked{ first.host_, NameOf(follower) };
+    for (std::size_t i = 0; i < ViewSourceOptions().others_; ++i) {
+      const ViewSource other = sources.Next(At(0.1));
+      REQUIRE_FALSE(other.IsStore());
+      CHECK(asked.insert(other.host_).second);
+      sources.Failed(other, At(0.1));
+    }
+    // All are paused; the store is the first that may be asked again.
+    const ViewSource next = sources.Next(At(0.2));
+    CHECK(next.IsStore());
+    CHECK(next.notBefore_ == At(1));
+  }
+  SECTION("a source that answers is used at once")
+  {
+    sources.Answered(first);
+    CHECK(sources.Next(At(0)).host_ == first.host_);
+  }
+}
+
+// Guards against hosts that cannot answer being followed.
+TEST_CASE("Hosts that leave or have no address are not followed")
+{
+  auto hosts = MakeHosts(3, "east");
+  hosts["h0"].draining_ = true;
+  hosts["h1"].peers_.clear();
+  CHECK(SourcesOf("h2", hosts).ReadsStore());
+  CHECK(SourcesOf("h0", hosts).Next(At(0)).host_ == "h2");
+  CHECK(SourcesOf("unregistered", hosts).Next(At(0)).host_ == "h2");
+  CHECK(SourcesOf("h0", {}).Next(At(0)).IsStore());
+}
+
+// Guards against changes that a follower misses, whatever its host has seen of
+// the store: a read in pages that overlaps with changes, and events that come
+// again.
+TEST_CASE("A follower of a cache ends with what is in the store")
+{
+  for (std::uint64_t seed = kSeed; seed < kSeed + 200; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<int> anyKey(0, 9);
+    std::uniform_int_distribution<int> chance(0, 9);
+    std::map<std::string, std::uint64_t> store;
+    std::vector<KvItem> history;
+    std::uint64_t revision = 1;
+    const auto change = [&] {
+      const std::string key = "k" + std::to_string(anyKey(random));
+      ++revision;
+      const bool removed = chance(random) < 4 && store.count(key) > 0;
+      if (removed) {
+        store.erase(key);
+      } else {
+        store[key] = revision;
+      }
+      history.push_back(Item(key, revision, removed));
+    };
+    // Reads key by key while the store changes.
+    const auto read = [&](ViewCache& aCache) {
+      const std::uint64_t begun = revision;
+      std::vector<KvItem> items;
+      for (int i = 0; i < 10; ++i) {
+        const std::string key = "k" + std::to_string(i);
+        if (store.count(key) > 0) {
+          items.push_back(Item(key, store[key]));
+        }
+        if (chance(random) < 3) {
+          change();
+        }
+      }
+      aCache.Replace(items, begun);
+      return begun;
+    };
+    const auto watch = [&](ViewCache& aCache, std::uint64_t aAfter) {
+      std::vector<KvItem> events;
+      for (const KvItem& event : history) {
+        if (event.revision_ > aAfter) {
+          events.push_back(event);
+        }
+      }
+      aCache.Add(events, revision);
+      return revision;
+    };
+    for (int i = 0; i < 20; ++i) {
+      change();
+    }
+    ViewCache host;
+    ViewCache follower;
+    std::map<std::string, std::uint64_t> seen;
+    const auto see = [&](const std::vector<KvItem>& aEvents) {
+      for (const KvItem& event : aEvents) {
+        if (event.removed_) {
+          seen.erase(event.key_);
+        } else {
+          seen[event.key_] = event.revision_;
+        }
+      }
+    };
+    const bool followerFirst = chance(random) < 5;
+    std::uint64_t hostAt = followerFirst ? 0 : read(host);
+    const std::uint64_t begun = revision;
+    std::vector<KvItem> items;
+    for (const auto& [key, at] : store) {
+      items.push_back(Item(key, at));
+    }
+    see(follower.Replace(items, begun));
+    for (int i = 0; i < chance(random); ++i) {
+      change();
+    }
+    hostAt = followerFirst ? read(host) : hostAt;
+    for (int round = 0; round < 8; ++round) {
+      for (int i = 0; i < chance(random); ++i) {
+        change();
+      }
+      hostAt = chance(random) < 2 ? read(host) : watch(host, hostAt);
+      const auto events = host.Since(follower.Revision());
+      if (events) {
+        see(follower.Add(*events, host.Revision()));
+      } else {
+        // Too long ago; the follower goes to the store.
+        std::vector<KvItem> missed;
+        for (const KvItem& event : history) {
+          if (event.revision_ > follower.Revision()) {
+            missed.push_back(event);
+          }
+        }
+        see(follower.Add(missed, revision));
+      }
+    }
+    hostAt = watch(host, hostAt);
+    const auto last = host.Since(follower.Revision());
+    REQUIRE(last);
+    see(follower.Add(*last, host.Revision()));
+    CHECK(seen == store);
+  }
+}
+
+// Guards against memory that grows with each change.
+TEST_CASE("A cache keeps a bounded number of changes and bytes")
+{
+  ViewCacheOptions options;
+  options.mostEvents_ = 10;
+  options.mostBytes_ = 100;
+  ViewCache cache(options);
+  cache.Replace({}, 1);
+  for (std::uint64_t revision = 2; revision < 50; ++revision) {
+    cache.Add({ Item("k", revision) }, revision);
+  }
+  CHECK_FALSE(cache.Since(1));
+  CHECK_FALSE(cache.Since(30));
+  const auto events = cache.Since(45);
+  REQUIRE(events);
+  CHECK(events->size() == 4);
+  CHECK(cache.Since(49)->empty());
+}
+
+// Guards against answers that are malformed or cut short.
+TEST_CASE("Only whole answers about the view are read")
+{
+  ViewAnswer answer;
+  answer.status_ = KvStatus::Done;
+  answer.events_ = { Item("op/config", 8), Item("servers/i", 9, true) };
+  answer.events_[0].value_ = std::string("\xff\x00{", 3);
+  answer.revision_ = 9;
+  answer.confirmedAfter_ = -std::chrono::milliseconds(250);
+  answer.storeBack_ = std::chrono::milliseconds(700);
+  const std::string whole = EncodeViewAnswer(answer);
+  const auto read = DecodeViewAnswer(whole);
+  REQUIRE(read);
+  CHECK(read->status_ == KvStatus::Done);
+  REQUIRE(read->events_.size() == 2);
+  CHECK(read->events_[0].value_ == answer.events_[0].value_);
+  CHECK_FALSE(read->events_[0].removed_);
+  CHECK(read->events_[1].removed_);
+  CHECK(read->revision_ == 9);
+  CHECK(read->confirmedAfter_ == answer.confirmedAfter_);
+  CHECK(read->storeBack_ == answer.storeBack_);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK_FALSE(DecodeViewAnswer(whole.substr(0, size)));
+  }
+  const json sound = { { "gone", false },
+                       { "revision", 3 },
+                       { "confirmed_us", -5 },
+                       { "events", json::array() } };
+  const auto with = [&](const char* aField, const json& aValue) {
+    json message = sound;
+    message[aField] = aValue;
+    return message;
+  };
+  const json rows[] = {
+    json::array(),
+    with("gone", "no"),
+    with("revision", "three"),
+    with("confirmed_us", "late"),
+    with("store_back_us", "now"),
+    with("events", 4),
+    with("events", json::array({ 1 })),
+    with("events", json::array({ { { "key", 1 }, { "revision", 2 } } })),
+    with("events",
+         json::array(
+           { { { "key", "k" }, { "revision", 2 }, { "value", "text" } } })),
+  };
+  for (const json& row : rows) {
+    INFO(row);
+    std::string bytes;
+    json::to_cbor(row, bytes);
+    CHECK_FALSE(DecodeViewAnswer(bytes));
+  }
+}
