Turn to a second neighbour before the store, and back off

While the store turned the first host of a region away, all 38 that follow it read the store in its place, four times a second each; the first host called again each 150 ms. At the start each host read before the others were registered, and watched until they were.

Change: a host whose neighbour fails asks the first or second host of its region for 0.3 s, and then the store; pauses double up to eight times. A watch is only brief while the view is older than a second. The first read follows the registration, so that it finds the hosts that started together.

--- a/src/gateway/AllowanceOwners.cc
+++ b/src/gateway/AllowanceOwners.cc
@@ -11,6 +11,9 @@
 
 using Candidates = std::vector<AllowanceOwner>;
 
+// Hosts come and go; addresses beyond this number are learned anew.
+constexpr std::size_t kMostAddresses = 20000;
+
 bool
 SameHosts(const std::vector<Candidates>& aLeft,
           const std::vector<Candidates>& aRight)
@@ -51,7 +54,9 @@
 bool
 AllowanceOwners::SetHosts(const std::map<std::string, HostRecord>& aHosts)
 {
-  addresses_.clear();
+  if (addresses_.size() > kMostAddresses) {
+    addresses_.clear();
+  }
   Candidates staying;
   Candidates all;
   std::vector<Candidates> candidates(regions_.size());
--- a/src/gateway/AllowanceOwners.h
+++ b/src/gateway/AllowanceOwners.h
@@ -66,7 +66,9 @@
   // Null while no host is known. Valid until the next SetHosts.
   const AllowanceOwner* OwnerOf(const ShareKey& aShare);
   bool OwnedHere(const ShareKey& aShare);
-  // Whether a registered host receives datagrams at this address.
+  // Whether a host that was registered since this one's start receives
+  // datagrams at this address: the registration of a host that the store turns
+  // away ends, and the host goes on serving callers.
   bool Knows(const std::string& aAddress) const
   {
     return addresses_.count(aAddress) > 0;
--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -37,10 +37,14 @@
   // Whether the answer continues this host's view without a gap.
   bool Continues(const ViewAnswer& aAnswer) const;
   void Confirm(TimePoint aConfirmedAt);
+  // Reads everything once this host is registered or has waited for that.
+  void ReadFirst();
   // A call that was sent at aSentAt failed.
   void OnStoreFailed(KvStatus aStatus, TimePoint aSentAt);
   // aBack: how long ago the store came back, when a neighbour says so.
   void OnStoreAnswered(std::optional<Duration> aBack = std::nullopt);
+  // Before changes that were read from the store are applied.
+  void OnStoreRead();
   RegistrationOptions MakeRegistrationOptions();
 
   void ApplyEvents(const std::vector<KvItem>& aItems);
@@ -63,6 +67,7 @@
   FleetSnapshotPtr snapshot_;
   TimePoint confirmedAt_ = TimePoint::min();
   bool changed_ = false;
+  bool begun_ = false;
   // The revision up to which changes were read.
   std::uint64_t revision_ = 0;
   std::uint64_t firstRevision_ = 0;
@@ -76,7 +81,8 @@
   std::map<std::string, TimePoint> missing_;
   bool reachable_ = true;
   TimePoint returnedAt_ = TimePoint::min();
-  // The store's last answer to any call.
+  // The store's last failed read, and its last answer to any call.
+  TimePoint failedAt_ = TimePoint::min();
   TimePoint answeredAt_ = TimePoint::min();
 
   HostRegistration registration_;
@@ -105,6 +111,7 @@
 {
   RegistrationOptions options = options_.registration_;
   options.onAnswered_ = [this] { OnStoreAnswered(); };
+  options.onRegistered_ = [this] { ReadFirst(); };
   return options;
 }
 
@@ -124,6 +131,7 @@
 void
 ControlLoop::Impl::OnStoreFailed(KvStatus aStatus, TimePoint aSentAt)
 {
+  failedAt_ = BootClock::now();
   // A later call may have been answered meanwhile.
   if (reachable_ && aSentAt >= answeredAt_) {
     reachable_ = false;
@@ -144,6 +152,19 @@
   }
 }
 
+// A host that follows neighbours may not have called the store while it was
+// away: a view that was not confirmed for long counts as an outage.
+void
+ControlLoop::Impl::OnStoreRead()
+{
+  const TimePoint now = BootClock::now();
+  const bool known = confirmedAt_ != TimePoint::min();
+  if (known && now - confirmedAt_ > options_.behindAge_ &&
+      !StoreReturnedLately(now)) {
+    returnedAt_ = now;
+  }
+}
+
 bool
 ControlLoop::Impl::StoreReturnedLately(TimePoint aNow) const
 {
@@ -151,6 +172,15 @@
          aNow - returnedAt_ < options_.returnTime_;
 }
 
+void
+ControlLoop::Impl::ReadFirst()
+{
+  if (!begun_) {
+    begun_ = true;
+    ReadAll();
+  }
+}
+
 // Reads all keys and then follows their changes from the revision before.
 void
 ControlLoop::Impl::ReadAll()
@@ -197,6 +227,7 @@
 void
 ControlLoop::Impl::OnAllRead()
 {
+  OnStoreRead();
   ApplyEvents(cache_.Replace(std::move(read_), firstRevision_));
   read_.clear();
   revision_ = std::max(revision_, firstRevision_);
@@ -234,7 +265,8 @@
 ControlLoop::Impl::WatchStore()
 {
   const TimePoint sentAt = BootClock::now();
-  const bool inTurn = !hooks_.askNeighbour_ || sources_.ReadsStore();
+  const bool inTurn = !hooks_.askNeighbour_ || sources_.ReadsStore() ||
+                      sentAt - confirmedAt_ < options_.briefAge_;
   store_.Watch(
     "",
     revision_,
@@ -270,6 +302,7 @@
     ReadAll();
     return;
   }
+  OnStoreRead();
   ApplyEvents(cache_.Add(aItems.items_, aItems.revision_));
   revision_ = std::max(revision_, aItems.revision_);
   Confirm(aSentAt);
@@ -283,6 +316,7 @@
   hooks_.askNeighbour_(
     aSource.address_,
     revision_,
+    aSource.first_ ? options_.neighbourWait_ : options_.deputyWait_,
     [weak = weak_from_this(), aSource, sentAt](const ViewAnswer& aAnswer) {
       if (const auto self = weak.lock()) {
         self->OnNeighbour(aSource, sentAt, aAnswer);
@@ -325,7 +359,9 @@
     sources_.Failed(aSource, now);
   } else {
     sources_.Answered(aSource);
-    // The store serves the neighbour, whether it serves this host or not.
+  }
+  // The store has served the neighbour since it last failed this host.
+  if (confirmedAt > failedAt_) {
     OnStoreAnswered(aAnswer.storeBack_);
   }
   ApplyEvents(cache_.Add(aAnswer.events_, aAnswer.revision_));
@@ -547,8 +583,9 @@
 void
 ControlLoop::Start()
 {
-  impl_->ReadAll();
   impl_->registration_.Start();
+  impl_->After(impl_->options_.registrationWait_,
+               [](Impl& aSelf) { aSelf.ReadFirst(); });
 }
 
 void
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -72,16 +72,25 @@
   std::string region_;
   // The longest wait of a watch; a shorter one confirms the view more often.
   Duration watchWait_ = std::chrono::milliseconds(800);
-  // The wait of a watch by a host whose neighbour has failed: its view needs a
-  // confirmation at once.
+  // The wait of a watch by a host whose neighbour has failed and whose view is
+  // older than this: it needs a confirmation at once.
   Duration briefWait_ = std::chrono::milliseconds(20);
+  Duration briefAge_ = std::chrono::milliseconds(1000);
+  // The longest wait for a neighbour that is asked in place of the first one.
+  Duration deputyWait_ = std::chrono::milliseconds(300);
+  // The longest time for which the first read waits for this host's
+  // registration, so that it finds the hosts that started together.
+  Duration registrationWait_ = std::chrono::milliseconds(400);
   // The shortest time between two watches: changes that come together are read
   // together.
   Duration watchPause_ = std::chrono::milliseconds(250);
   // The pause after a failed complete read.
   Duration retryPause_ = std::chrono::milliseconds(150);
+  // The longest wait at a neighbour: longer than its watch of the store with
+  // the way to the store and back.
+  Duration neighbourWait_ = std::chrono::milliseconds(1050);
   // A neighbour whose view is older is behind.
-  Duration behindAge_ = std::chrono::milliseconds(1500);
+  Duration behindAge_ = std::chrono::milliseconds(1800);
   ViewSourceOptions sources_;
   // Backend servers whose registration lapsed while the store was away come
   // back within this time of its return.
@@ -100,10 +109,11 @@
   std::function<
     void(const ViewCache&, TimePoint aConfirmedAt, TimePoint aStoreBackAt)>
     onConfirmed_;
-  // Asks a neighbour for what came after a revision. When empty, only the store
-  // is asked.
+  // Asks a neighbour for what came after a revision, and waits for news for so
+  // long at most. When empty, only the store is asked.
   std::function<void(const std::string& aAddress,
                      std::uint64_t aAfterRevision,
+                     Duration aWait,
                      std::function<void(ViewAnswer)>)>
     askNeighbour_;
 };
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -225,8 +225,9 @@
     };
     hooks.askNeighbour_ = [this](const std::string& aAddress,
                                  std::uint64_t aAfterRevision,
+                                 Duration aWait,
                                  std::function<void(ViewAnswer)> aCallback) {
-      feed_.Ask(aAddress, aAfterRevision, std::move(aCallback));
+      feed_.Ask(aAddress, aAfterRevision, aWait, std::move(aCallback));
     };
   }
   return hooks;
--- a/src/gateway/HostRegistration.cc
+++ b/src/gateway/HostRegistration.cc
@@ -151,6 +151,9 @@
   writing_ = false;
   if (aStatus == KvStatus::Done) {
     revision_ = std::max(revision_, aNumber);
+    if (options_.onRegistered_) {
+      options_.onRegistered_();
+    }
     return;
   }
   changed_ = true;
--- a/src/gateway/HostRegistration.h
+++ b/src/gateway/HostRegistration.h
@@ -28,6 +28,8 @@
   Duration publishPause_ = std::chrono::milliseconds(1000);
   // Runs when the store answers a renewal of the lease. May be empty.
   std::function<void()> onAnswered_;
+  // Runs when the store has taken a record. May be empty.
+  std::function<void()> onRegistered_;
 };
 
 class HostRegistration
--- a/src/gateway/ViewFeed.cc
+++ b/src/gateway/ViewFeed.cc
@@ -6,7 +6,7 @@
 #include "http/HttpServer.h"
 
 #include <charconv>
-#include <list>
+#include <map>
 
 namespace peridotsail {
 
@@ -16,6 +16,7 @@
 
 constexpr std::string_view kPath = "/view";
 constexpr const char* kAfter = "after";
+constexpr const char* kWait = "wait_ms";
 // A store that came back longer ago is of no interest to a follower.
 constexpr Duration kStoreBackLife = std::chrono::seconds(10);
 
@@ -37,6 +38,7 @@
   {
     std::uint64_t after_ = 0;
     TimePoint arrivedAt_;
+    TimePoint end_;
     std::shared_ptr<HttpReply> reply_;
   };
 
@@ -53,6 +55,7 @@
   void Answer(const Question& aQuestion);
   void AnswerAll();
   void SetTimer();
+  void OnTimer();
   void OnAnswer(const std::string& aAddress,
                 const std::optional<HttpResponse>& aResponse,
                 const Error& aError,
@@ -61,8 +64,9 @@
   ViewFeedOptions options_;
   HttpClient client_;
   asio::steady_timer timer_;
-  // In the order of their arrival.
-  std::list<Question> waiting_;
+  std::optional<TimePoint> timerAt_;
+  // By the end of their wait.
+  std::multimap<TimePoint, Question> waiting_;
   const ViewCache* cache_ = nullptr;
   TimePoint confirmedAt_ = TimePoint::min();
   TimePoint storeBackAt_ = TimePoint::min();
@@ -75,21 +79,24 @@
 {
   const auto after =
     ToNumber(QueryParameter(aRequest.target_, kAfter).value_or(""));
-  if (PathOf(aRequest.target_) != kPath || !after) {
+  const auto wait =
+    ToNumber(QueryParameter(aRequest.target_, kWait).value_or(""));
+  if (PathOf(aRequest.target_) != kPath || !after || !wait) {
     aReply->Send({ 404, {}, "" });
     return;
   }
-  const Question question{ *after, BootClock::now(), aReply };
-  const bool now =
-    HasNews(question) || waiting_.size() >= options_.mostWaiting_;
-  if (now) {
+  const auto most =
+    static_cast<std::uint64_t>(ToMilliseconds(options_.mostWait_));
+  const TimePoint now = BootClock::now();
+  const Question question{
+    *after, now, now + std::chrono::milliseconds(std::min(*wait, most)), aReply
+  };
+  if (HasNews(question) || waiting_.size() >= options_.mostWaiting_) {
     Answer(question);
     return;
   }
-  waiting_.push_back(question);
-  if (waiting_.size() == 1) {
-    SetTimer();
-  }
+  waiting_.emplace(question.end_, question);
+  SetTimer();
 }
 
 bool
@@ -123,39 +130,46 @@
 void
 ViewFeed::Impl::AnswerAll()
 {
-  std::list<Question> waiting;
+  std::multimap<TimePoint, Question> waiting;
   waiting.swap(waiting_);
-  for (const Question& question : waiting) {
+  for (const auto& [end, question] : waiting) {
     Answer(question);
   }
 }
 
-// One timer for the question that has waited longest.
+// One timer for the question whose wait ends first.
 void
 ViewFeed::Impl::SetTimer()
 {
-  if (waiting_.empty()) {
+  const bool set =
+    timerAt_ && (waiting_.empty() || *timerAt_ <= waiting_.begin()->first);
+  if (waiting_.empty() || set) {
     return;
   }
-  const TimePoint end = waiting_.front().arrivedAt_ + options_.wait_;
+  timerAt_ = waiting_.begin()->first;
   timer_.expires_after(
-    ToSteady(std::max(Duration::zero(), end - BootClock::now())));
+    ToSteady(std::max(Duration::zero(), *timerAt_ - BootClock::now())));
   timer_.async_wait([weak = weak_from_this()](ErrorCode aError) {
     const auto self = weak.lock();
-    if (!self || aError) {
-      return;
+    if (self && !aError) {
+      self->timerAt_.reset();
+      self->OnTimer();
     }
-    const TimePoint now = BootClock::now();
-    while (!self->waiting_.empty() &&
-           now - self->waiting_.front().arrivedAt_ >= self->options_.wait_) {
-      const Question question = self->waiting_.front();
-      self->waiting_.pop_front();
-      self->Answer(question);
-    }
-    self->SetTimer();
   });
 }
 
+void
+ViewFeed::Impl::OnTimer()
+{
+  const TimePoint now = BootClock::now();
+  while (!waiting_.empty() && waiting_.begin()->first <= now) {
+    const Question question = waiting_.begin()->second;
+    waiting_.erase(waiting_.begin());
+    Answer(question);
+  }
+  SetTimer();
+}
+
 void
 ViewFeed::Impl::OnAnswer(const std::string& aAddress,
                          const std::optional<HttpResponse>& aResponse,
@@ -220,6 +234,7 @@
 void
 ViewFeed::Ask(const std::string& aAddress,
               std::uint64_t aAfterRevision,
+              Duration aWait,
               Callback aCallback)
 {
   const auto address = ParseAddress(aAddress);
@@ -231,12 +246,13 @@
     return;
   }
   HttpRequest request;
-  request.target_ =
-    std::string(kPath) + "?" + kAfter + "=" + std::to_string(aAfterRevision);
+  request.target_ = std::string(kPath) + "?" + kAfter + "=" +
+                    std::to_string(aAfterRevision) + "&" + kWait + "=" +
+                    std::to_string(ToMilliseconds(aWait));
   impl_->client_.Call(
     *address,
     request,
-    impl_->options_.wait_ + impl_->options_.timeout_,
+    aWait + impl_->options_.timeout_,
     [weak = std::weak_ptr<Impl>(impl_),
      aAddress,
      callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
--- a/src/gateway/ViewFeed.h
+++ b/src/gateway/ViewFeed.h
@@ -9,7 +9,7 @@
 //   ViewFeed feed(context, options);
 //   if (!feed.Listen(address, error)) { ... }
 //   feed.Publish(cache, confirmedAt, storeBackAt);   // after each confirmation
-//   feed.Ask(address, revision, callback);
+//   feed.Ask(address, revision, wait, callback);
 
 #include "base/ErrorKind.h"
 #include "gateway/ViewCache.h"
@@ -25,9 +25,8 @@
 
 struct ViewFeedOptions
 {
-  // The longest wait of a question at the asked host: longer than that host's
-  // watch of the store with the way to the store and back.
-  Duration wait_ = std::chrono::milliseconds(1050);
+  // The longest wait of a question, whatever it states.
+  Duration mostWait_ = std::chrono::milliseconds(5000);
   // For an answer beyond the wait. Hosts of one region are a millisecond apart.
   Duration timeout_ = std::chrono::milliseconds(250);
   // Questions that wait at one time; further ones are answered at once.
@@ -52,9 +51,11 @@
   void Publish(const ViewCache& aCache,
                TimePoint aConfirmedAt,
                TimePoint aStoreBackAt);
-  // The callback runs once, with KvStatus::Unknown without a usable answer.
+  // The callback runs once, with KvStatus::Unknown without a usable answer. The
+  // asked host waits for news for aWait at most.
   void Ask(const std::string& aAddress,
            std::uint64_t aAfterRevision,
+           Duration aWait,
            Callback aCallback);
 
 private:
--- a/src/gateway/ViewSources.cc
+++ b/src/gateway/ViewSources.cc
@@ -31,7 +31,7 @@
       host.region_ == region_ && !host.draining_ && !host.peers_.empty();
     if (follows) {
       order.push_back({ MixHash(region ^ StableHash(name)),
-                        { name, host.peers_, TimePoint::min() } });
+                        { name, host.peers_, false, TimePoint::min() } });
     }
   }
   std::sort(
@@ -46,18 +46,32 @@
   const std::size_t rank = static_cast<std::size_t>(own - order.begin());
   const std::size_t above = rank == 0 ? 0 : (rank - 1) / options_.followers_;
   sources_.clear();
+  const auto add = [&](const ViewSource& aSource) {
+    const bool known = aSource.host_ == self_ ||
+                       std::any_of(sources_.begin(),
+                                   sources_.end(),
+                                   [&](const ViewSource& aKnown) {
+                                     return aKnown.host_ == aSource.host_;
+                                   });
+    if (!known) {
+      sources_.push_back(aSource);
+    }
+  };
   if (rank > 0) {
-    sources_.push_back(order[above].source_);
+    add(order[above].source_);
+    for (std::size_t i = 0; i < 2 && sources_.size() < 2; ++i) {
+      if (i < order.size()) {
+        add(order[i].source_);
+      }
+    }
   }
-  sources_.emplace_back();
+  add({});
   // Begins after this host, so that not all ask the same one.
-  for (std::size_t i = 1; i < order.size(); ++i) {
-    const std::size_t other = (rank + i) % order.size();
-    const bool known = other == rank || (rank > 0 && other == above);
-    if (!known && sources_.size() < options_.others_ + 2) {
-      sources_.push_back(order[other].source_);
-    }
+  const std::size_t most = sources_.size() + options_.others_;
+  for (std::size_t i = 1; i < order.size() && sources_.size() < most; ++i) {
+    add(order[(rank + i) % order.size()].source_);
   }
+  sources_.front().first_ = true;
 }
 
 ViewSource
@@ -66,9 +80,9 @@
   ViewSource next;
   next.notBefore_ = TimePoint::max();
   for (const ViewSource& source : sources_) {
-    const auto paused = pausedUntil_.find(source.host_);
+    const auto paused = pauses_.find(source.host_);
     const TimePoint from =
-      paused == pausedUntil_.end() ? TimePoint::min() : paused->second;
+      paused == pauses_.end() ? TimePoint::min() : paused->second.until_;
     if (from <= aNow) {
       return source;
     }
@@ -83,17 +97,20 @@
 void
 ViewSources::Answered(const ViewSource& aSource)
 {
-  pausedUntil_.erase(aSource.host_);
+  pauses_.erase(aSource.host_);
 }
 
 void
 ViewSources::Failed(const ViewSource& aSource, TimePoint aNow)
 {
-  Duration pause = options_.neighbourPause_;
+  constexpr int kMostDoublings = 3;
+  Duration base = options_.neighbourPause_;
   if (aSource.IsStore()) {
-    pause = ReadsStore() ? options_.storePause_ : options_.followerStorePause_;
+    base = ReadsStore() ? options_.storePause_ : options_.followerStorePause_;
   }
-  pausedUntil_[aSource.host_] = aNow + pause;
+  Pause& pause = pauses_[aSource.host_];
+  pause.until_ = aNow + base * (1 << std::min(pause.failures_, kMostDoublings));
+  ++pause.failures_;
 }
 
 }
--- a/src/gateway/ViewSources.h
+++ b/src/gateway/ViewSources.h
@@ -4,8 +4,9 @@
 // a neighbour that has it from there. The staying hosts of a region form a tree
 // in rendezvous order, which all of them see alike: the first one reads the
 // store, and each other one follows the host above it. A host whose neighbour
-// fails or is behind reads the store itself, and when the store fails too, asks
-// others of its region: the store may turn away some hosts and serve the rest.
+// fails or is behind asks the first or second host of the tree, then reads the
+// store itself, and when the store fails too, asks others of its region: the
+// store may turn away some hosts and serve the rest.
 //
 // Pure.
 //
@@ -26,12 +27,13 @@
 {
   // Hosts that follow one host.
   std::size_t followers_ = 16;
-  // A neighbour that failed or was behind is left alone for so long.
+  // A neighbour that failed or was behind is left alone for so long. Each
+  // further failure in a row doubles a pause, up to three times.
   Duration neighbourPause_ = std::chrono::milliseconds(2000);
   // The same for the store, at a host that reads it in turn, and at the others:
   // when the store is out, they must not all call it all the time.
   Duration storePause_ = std::chrono::milliseconds(150);
-  Duration followerStorePause_ = std::chrono::milliseconds(1000);
+  Duration followerStorePause_ = std::chrono::milliseconds(500);
   // Other neighbours that are tried.
   std::size_t others_ = 3;
 };
@@ -41,6 +43,8 @@
   // Both empty: the store.
   std::string host_;
   std::string address_;
+  // The source by rule, which may be waited for longest.
+  bool first_ = false;
   // All sources are paused until then.
   TimePoint notBefore_ = TimePoint::min();
 
@@ -67,8 +71,13 @@
   ViewSourceOptions options_;
   // In the order of preference.
   std::vector<ViewSource> sources_;
+  struct Pause
+  {
+    TimePoint until_;
+    int failures_ = 0;
+  };
   // By host name.
-  std::map<std::string, TimePoint> pausedUntil_;
+  std::map<std::string, Pause> pauses_;
 };
 
 }
