Ask neighbours soon after an outage; heed servers that leave or rest

All sources of a follower had failed during the outage, and their pauses had doubled to four seconds. Ruled out: no pauses (all followers would call a store that is out many times a second).

Change 1: a neighbour that is behind is asked again after 0.3 s without doubling, since it is the first to hear of the store's return; followers call the store once a second. A host does not follow one that has its view from it. Answers say so ("source").

Change 2: an instance that says that it leaves gets nothing more from this host in its lifetime; one that asks for a rest gets nothing for so long. An answer has 16 MB at most (64 before), all answers that are read at one time 64 MB.

--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -36,7 +36,8 @@
                    const ViewAnswer& aAnswer);
   // Whether the answer continues this host's view without a gap.
   bool Continues(const ViewAnswer& aAnswer) const;
-  void Confirm(TimePoint aConfirmedAt);
+  // aSource is empty for the store.
+  void Confirm(TimePoint aConfirmedAt, const std::string& aSource);
   // Reads everything once this host is registered or has waited for that.
   void ReadFirst();
   // A call that was sent at aSentAt failed.
@@ -66,6 +67,8 @@
   FleetSnapshot view_;
   FleetSnapshotPtr snapshot_;
   TimePoint confirmedAt_ = TimePoint::min();
+  // The neighbour that did; empty: the store.
+  std::string confirmedBy_;
   bool changed_ = false;
   bool begun_ = false;
   // The revision up to which changes were read.
@@ -231,7 +234,7 @@
   ApplyEvents(cache_.Replace(std::move(read_), firstRevision_));
   read_.clear();
   revision_ = std::max(revision_, firstRevision_);
-  Confirm(readBegun_);
+  Confirm(readBegun_, "");
   Follow();
 }
 
@@ -291,7 +294,7 @@
   }
   if (aStatus != KvStatus::Done) {
     OnStoreFailed(aStatus, aSentAt);
-    sources_.Failed({}, BootClock::now());
+    sources_.Failed({}, ViewFailure::Unusable, BootClock::now());
     Follow();
     return;
   }
@@ -305,7 +308,7 @@
   OnStoreRead();
   ApplyEvents(cache_.Add(aItems.items_, aItems.revision_));
   revision_ = std::max(revision_, aItems.revision_);
-  Confirm(aSentAt);
+  Confirm(aSentAt, "");
   FollowAfterPause(aSentAt);
 }
 
@@ -328,8 +331,10 @@
 ControlLoop::Impl::Continues(const ViewAnswer& aAnswer) const
 {
   const bool gap = aAnswer.events_.empty() && aAnswer.revision_ > revision_;
+  // Two hosts that follow each other would never hear of the store.
+  const bool circle = aAnswer.source_ == options_.name_;
   return aAnswer.status_ == KvStatus::Done && aAnswer.revision_ >= revision_ &&
-         !gap;
+         !gap && !circle;
 }
 
 void
@@ -344,7 +349,7 @@
                { "status", NameOf(aAnswer.status_) },
                { "neighbour_revision", aAnswer.revision_ },
                { "revision", revision_ } });
-    sources_.Failed(aSource, now);
+    sources_.Failed(aSource, ViewFailure::Unusable, now);
     Follow();
     return;
   }
@@ -356,7 +361,7 @@
     LogEvent(Event::ViewNeighbourBehind,
              { { "neighbour", aSource.host_ },
                { "age_ms", ToMilliseconds(now - confirmedAt) } });
-    sources_.Failed(aSource, now);
+    sources_.Failed(aSource, ViewFailure::Behind, now);
   } else {
     sources_.Answered(aSource);
   }
@@ -366,15 +371,18 @@
   }
   ApplyEvents(cache_.Add(aAnswer.events_, aAnswer.revision_));
   revision_ = aAnswer.revision_;
-  Confirm(confirmedAt);
+  Confirm(confirmedAt, aSource.host_);
   FollowAfterPause(aSentAt);
 }
 
 // The view is at least as new as the store was at that time.
 void
-ControlLoop::Impl::Confirm(TimePoint aConfirmedAt)
+ControlLoop::Impl::Confirm(TimePoint aConfirmedAt, const std::string& aSource)
 {
-  confirmedAt_ = std::max(confirmedAt_, aConfirmedAt);
+  if (aConfirmedAt > confirmedAt_) {
+    confirmedAt_ = aConfirmedAt;
+    confirmedBy_ = aSource;
+  }
   Publish();
 }
 
@@ -561,7 +569,7 @@
   }
   hooks_.onView_(snapshot_, confirmedAt_);
   if (hooks_.onConfirmed_) {
-    hooks_.onConfirmed_(cache_, confirmedAt_, returnedAt_);
+    hooks_.onConfirmed_(cache_, { confirmedAt_, confirmedBy_, returnedAt_ });
   }
 }
 
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -104,11 +104,9 @@
   // same snapshot comes again when only the time is new. Both come together, so
   // that the time never vouches for a snapshot that is still on its way.
   std::function<void(FleetSnapshotPtr, TimePoint aConfirmedAt)> onView_;
-  // The same for the hosts that follow this one; aStoreBackAt is when the store
-  // came back last. The cache lives as long as the loop. May be empty.
-  std::function<
-    void(const ViewCache&, TimePoint aConfirmedAt, TimePoint aStoreBackAt)>
-    onConfirmed_;
+  // The same for the hosts that follow this one. The cache lives as long as the
+  // loop. May be empty.
+  std::function<void(const ViewCache&, const ViewConfirmation&)> onConfirmed_;
   // Asks a neighbour for what came after a revision, and waits for news for so
   // long at most. When empty, only the store is asked.
   std::function<void(const std::string& aAddress,
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -219,9 +219,8 @@
   };
   if (settings_.peers_) {
     hooks.onConfirmed_ = [this](const ViewCache& aCache,
-                                TimePoint aConfirmedAt,
-                                TimePoint aStoreBackAt) {
-      feed_.Publish(aCache, aConfirmedAt, aStoreBackAt);
+                                const ViewConfirmation& aConfirmation) {
+      feed_.Publish(aCache, aConfirmation);
     };
     hooks.askNeighbour_ = [this](const std::string& aAddress,
                                  std::uint64_t aAfterRevision,
--- a/src/gateway/GatewayHeaders.h
+++ b/src/gateway/GatewayHeaders.h
@@ -25,6 +25,8 @@
   std::string load_;
   // States that the request was not run.
   std::string notExecuted_;
+  // In a backend server's answers: it leaves and wants no further requests.
+  std::string leaving_;
   // The word before the key in Authorization.
   std::string keyScheme_;
 };
--- a/src/gateway/InstanceTable.cc
+++ b/src/gateway/InstanceTable.cc
@@ -19,7 +19,28 @@
 bool
 Instance::IsUsable(TimePoint aNow) const
 {
-  return registered_ && !evacuated_ && !record_.draining_ && !IsPaused(aNow);
+  return registered_ && !evacuated_ && !record_.draining_ && !leaving_ &&
+         !IsPaused(aNow) && aNow >= restsUntil_;
+}
+
+void
+Instance::SetLeaving()
+{
+  if (!leaving_) {
+    leaving_ = true;
+    LogEvent(Event::BackendServerState,
+             { { "server", record_.id_ }, { "state", "leaving" } });
+  }
+}
+
+void
+Instance::SetResting(TimePoint aUntil)
+{
+  if (aUntil > restsUntil_) {
+    restsUntil_ = aUntil;
+    LogEvent(Event::BackendServerState,
+             { { "server", record_.id_ }, { "state", "resting" } });
+  }
 }
 
 void
--- a/src/gateway/InstanceTable.h
+++ b/src/gateway/InstanceTable.h
@@ -64,6 +64,11 @@
   // Left out because of failures.
   bool IsPaused(TimePoint aNow) const { return aNow < pausedUntil_; }
   bool IsUsable(TimePoint aNow) const;
+  // The server said in an answer that it leaves: this host sends it nothing any
+  // more in this lifetime of the server.
+  void SetLeaving();
+  // The server asked this host for a rest.
+  void SetResting(TimePoint aUntil);
 
   // The requests of this host at the server and its queue.
   QueueEstimate queue_;
@@ -85,6 +90,8 @@
   // False once the registration is gone.
   bool registered_ = true;
   bool evacuated_ = false;
+  bool leaving_ = false;
+  TimePoint restsUntil_ = TimePoint::min();
 };
 
 using InstancePtr = std::shared_ptr<Instance>;
--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -119,6 +119,13 @@
   }
 }
 
+bool
+ServerConnections::Hold(std::size_t aBefore, std::size_t aNow)
+{
+  held_ = held_ - aBefore + aNow;
+  return held_ <= options_.mostHeldBytes_;
+}
+
 void
 ServerConnections::CloseExpired(TimePoint aNow)
 {
--- a/src/gateway/ServerConnections.h
+++ b/src/gateway/ServerConnections.h
@@ -24,6 +24,9 @@
   // Unacknowledged bytes end a connection after this long, so that one that
   // went silent is noticed; three times the longest round trip with one loss.
   Duration silenceLimit_ = std::chrono::milliseconds(1200);
+  // Bytes of answers that are read at one time: a quarter of the memory of the
+  // smallest host.
+  std::size_t mostHeldBytes_ = 64 << 20;
 };
 
 // One connection.
@@ -74,6 +77,10 @@
   void CloseExpired(TimePoint aNow);
   // Closes the idle connections to a server whose connection went silent.
   void CloseIdle(const InstancePtr& aInstance);
+  // Bytes of answers that are read at this moment; aBefore of them are replaced
+  // by aNow. Returns false when all answers together hold too many: servers in
+  // trouble may send without end at many requests at a time.
+  bool Hold(std::size_t aBefore, std::size_t aNow);
   asio::io_context& Context() { return context_; }
   const ServerConnectionOptions& Options() const { return options_; }
 
@@ -82,6 +89,7 @@
   ServerConnectionOptions options_;
   std::function<void(const Instance&, Duration)> onConnected_;
   std::map<Instance*, std::deque<ServerConnectionPtr>> idle_;
+  std::size_t held_ = 0;
 };
 
 }
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -41,9 +41,12 @@
 
 constexpr std::size_t kReadBytes = 16 << 10;
 // The largest header and body of an answer.
+// A server's longer wish is malformed or as good as for ever.
+constexpr double kMostRestSeconds = 3600;
 constexpr std::uint32_t kMostHeaderBytes = 64 << 10;
-constexpr std::uint64_t kMostBodyBytes = 64 << 20;
+constexpr std::uint64_t kMostBodyBytes = 16 << 20;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 std::string_view
 Field(const http::fields& aFields, const std::string& aName)
@@ -211,6 +214,10 @@
       Finish(ExchangeOutcome::BrokenAnswer, error.message());
       return false;
     }
+    if (!CountHeld()) {
+      Finish(ExchangeOutcome::BrokenAnswer, "too many bytes of answers held");
+      return false;
+    }
     if (parser_->is_done() && !OnWholeAnswer()) {
       return false;
     }
@@ -237,6 +244,7 @@
     return true;
   }
   ReportLoad(message);
+  ReportState(message);
   Judge(message);
   return false;
 }
@@ -301,6 +309,38 @@
   request_.instance_->queue_.Report(load);
 }
 
+void
+ServerExchange::ReportState(const Parser::value_type& aMessage)
+{
+  const int status = static_cast<int>(aMessage.result_int());
+  // Another server than the one that was meant speaks of itself.
+  if (status == kMisdirected) {
+    return;
+  }
+  if (!Field(aMessage, headers_.leaving_).empty()) {
+    request_.instance_->SetLeaving();
+  }
+  if (status == kUnavailable) {
+    const std::string_view text = ToView(aMessage[http::field::retry_after]);
+    double seconds = 0;
+    const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (parsed.ec == std::errc() && seconds > 0) {
+      request_.instance_->SetResting(
+        BootClock::now() + FromSeconds(std::min(seconds, kMostRestSeconds)));
+    }
+  }
+}
+
+bool
+ServerExchange::CountHeld()
+{
+  const std::size_t held = parser_->get().body().size();
+  const bool fits = connections_.Hold(held_, held);
+  held_ = held;
+  return fits;
+}
+
 void
 ServerExchange::KeepConnection(const Parser::value_type& aMessage)
 {
@@ -318,6 +358,8 @@
 void
 ServerExchange::Leave(bool aRan)
 {
+  connections_.Hold(held_, 0);
+  held_ = 0;
   QueueEstimate& queue = request_.instance_->queue_;
   queue.Ended();
   if (aRan) {
--- a/src/gateway/ServerExchange.h
+++ b/src/gateway/ServerExchange.h
@@ -90,6 +90,10 @@
   bool IsOwnAnswer(const Parser::value_type& aMessage);
   void Judge(const Parser::value_type& aMessage);
   void ReportLoad(const Parser::value_type& aMessage);
+  // Whether the server leaves or asks for a rest.
+  void ReportState(const Parser::value_type& aMessage);
+  // Counts the bytes of the answer that are held; false when they are too many.
+  bool CountHeld();
   void KeepConnection(const Parser::value_type& aMessage);
   void Finish(ExchangeOutcome aOutcome, std::string aReason);
   void NewParser();
@@ -106,6 +110,8 @@
   // The queue at the server when the request was sent, and when that was.
   double waitingAtStart_ = 0;
   TimePoint startedAt_;
+  // Bytes of the answer so far, as counted at the connections.
+  std::size_t held_ = 0;
   bool sent_ = false;
   bool written_ = false;
   bool finished_ = false;
--- a/src/gateway/ViewFeed.cc
+++ b/src/gateway/ViewFeed.cc
@@ -68,8 +68,9 @@
   // By the end of their wait.
   std::multimap<TimePoint, Question> waiting_;
   const ViewCache* cache_ = nullptr;
-  TimePoint confirmedAt_ = TimePoint::min();
-  TimePoint storeBackAt_ = TimePoint::min();
+  ViewConfirmation confirmation_;
+  // Of the cache when waiting questions were last answered.
+  std::uint64_t answeredRevision_ = 0;
   std::unique_ptr<HttpServer> server_;
 };
 
@@ -108,7 +109,7 @@
 void
 ViewFeed::Impl::Answer(const Question& aQuestion)
 {
-  if (cache_ == nullptr || confirmedAt_ == TimePoint::min()) {
+  if (cache_ == nullptr || confirmation_.at_ == TimePoint::min()) {
     aQuestion.reply_->Send({ 503, {}, "" });
     return;
   }
@@ -117,10 +118,12 @@
   answer.status_ = events ? KvStatus::Done : KvStatus::Gone;
   answer.events_ = std::move(events).value_or(std::vector<KvItem>());
   answer.revision_ = cache_->Revision();
-  answer.confirmedAfter_ = confirmedAt_ - aQuestion.arrivedAt_;
+  answer.source_ = confirmation_.source_;
+  answer.confirmedAfter_ = confirmation_.at_ - aQuestion.arrivedAt_;
   const TimePoint now = BootClock::now();
-  if (storeBackAt_ != TimePoint::min() && now - storeBackAt_ < kStoreBackLife) {
-    answer.storeBack_ = now - storeBackAt_;
+  const TimePoint back = confirmation_.storeBackAt_;
+  if (back != TimePoint::min() && now - back < kStoreBackLife) {
+    answer.storeBack_ = now - back;
   }
   aQuestion.reply_->Send({ 200,
                            { { "Content-Type", "application/cbor" } },
@@ -221,14 +224,17 @@
 }
 
 void
-ViewFeed::Publish(const ViewCache& aCache,
-                  TimePoint aConfirmedAt,
-                  TimePoint aStoreBackAt)
+ViewFeed::Publish(const ViewCache& aCache, ViewConfirmation aConfirmation)
 {
+  const bool news = impl_->cache_ == nullptr ||
+                    aConfirmation.at_ > impl_->confirmation_.at_ ||
+                    aCache.Revision() > impl_->answeredRevision_;
   impl_->cache_ = &aCache;
-  impl_->confirmedAt_ = aConfirmedAt;
-  impl_->storeBackAt_ = aStoreBackAt;
-  impl_->AnswerAll();
+  impl_->confirmation_ = std::move(aConfirmation);
+  impl_->answeredRevision_ = aCache.Revision();
+  if (news) {
+    impl_->AnswerAll();
+  }
 }
 
 void
--- a/src/gateway/ViewFeed.h
+++ b/src/gateway/ViewFeed.h
@@ -8,7 +8,7 @@
 //
 //   ViewFeed feed(context, options);
 //   if (!feed.Listen(address, error)) { ... }
-//   feed.Publish(cache, confirmedAt, storeBackAt);   // after each confirmation
+//   feed.Publish(cache, confirmation);   // after each confirmation
 //   feed.Ask(address, revision, wait, callback);
 
 #include "base/ErrorKind.h"
@@ -46,11 +46,9 @@
   bool Listen(const Address& aAddress, Error& aError);
   // The port in use; differs from the requested one when that was 0.
   std::uint16_t Port() const;
-  // Answers the waiting questions. aCache must outlive the feed;
-  // aStoreBackAt is TimePoint::min() when the store was never away.
-  void Publish(const ViewCache& aCache,
-               TimePoint aConfirmedAt,
-               TimePoint aStoreBackAt);
+  // Answers the waiting questions when there is news. aCache must outlive the
+  // feed.
+  void Publish(const ViewCache& aCache, ViewConfirmation aConfirmation);
   // The callback runs once, with KvStatus::Unknown without a usable answer. The
   // asked host waits for news for aWait at most.
   void Ask(const std::string& aAddress,
--- a/src/gateway/ViewMessages.cc
+++ b/src/gateway/ViewMessages.cc
@@ -58,6 +58,7 @@
 EncodeViewAnswer(const ViewAnswer& aAnswer)
 {
   json message{ { "gone", aAnswer.status_ == KvStatus::Gone },
+                { "source", aAnswer.source_ },
                 { "revision", aAnswer.revision_ },
                 { "confirmed_us", ToMicroseconds(aAnswer.confirmedAfter_) } };
   if (aAnswer.storeBack_) {
@@ -84,6 +85,7 @@
     ViewAnswer answer;
     const bool gone = message->at("gone").get<bool>();
     answer.status_ = gone ? KvStatus::Gone : KvStatus::Done;
+    answer.source_ = message->at("source").get<std::string>();
     answer.revision_ = message->at("revision").get<std::uint64_t>();
     answer.confirmedAfter_ = ReadMicroseconds(*message, "confirmed_us");
     if (message->contains("store_back_us")) {
--- a/src/gateway/ViewMessages.h
+++ b/src/gateway/ViewMessages.h
@@ -22,10 +22,22 @@
   // the question; negative: before it. A follower that counts from when it
   // asked, which was earlier, never takes the view for newer than it is.
   Duration confirmedAfter_{};
+  // The host from which the answering one has its view; empty: the store.
+  std::string source_;
   // How long ago the store came back, when that was a moment ago.
   std::optional<Duration> storeBack_;
 };
 
+// When and from where a host has its view.
+struct ViewConfirmation
+{
+  TimePoint at_ = TimePoint::min();
+  // As ViewAnswer::source_.
+  std::string source_;
+  // When the store came back last; TimePoint::min(): it was never away.
+  TimePoint storeBackAt_ = TimePoint::min();
+};
+
 std::string
 EncodeViewAnswer(const ViewAnswer& aAnswer);
 
--- a/src/gateway/ViewSources.cc
+++ b/src/gateway/ViewSources.cc
@@ -101,16 +101,23 @@
 }
 
 void
-ViewSources::Failed(const ViewSource& aSource, TimePoint aNow)
+ViewSources::Failed(const ViewSource& aSource,
+                    ViewFailure aFailure,
+                    TimePoint aNow)
 {
-  constexpr int kMostDoublings = 3;
-  Duration base = options_.neighbourPause_;
-  if (aSource.IsStore()) {
-    base = ReadsStore() ? options_.storePause_ : options_.followerStorePause_;
-  }
+  constexpr int kMostDoublings = 2;
   Pause& pause = pauses_[aSource.host_];
-  pause.until_ = aNow + base * (1 << std::min(pause.failures_, kMostDoublings));
+  const int factor = 1 << std::min(pause.failures_, kMostDoublings);
   ++pause.failures_;
+  if (aSource.IsStore()) {
+    pause.until_ = aNow + (ReadsStore() ? options_.storePause_ * factor
+                                        : options_.followerStorePause_);
+  } else if (aFailure == ViewFailure::Behind) {
+    pause.until_ = aNow + options_.behindPause_;
+    pause.failures_ = 0;
+  } else {
+    pause.until_ = aNow + options_.neighbourPause_ * factor;
+  }
 }
 
 }
--- a/src/gateway/ViewSources.h
+++ b/src/gateway/ViewSources.h
@@ -13,7 +13,7 @@
 //   ViewSources sources("host-1", "eu-west", options);
 //   sources.SetHosts(snapshot.hosts_);
 //   ViewSource source = sources.Next(now);
-//   sources.Failed(source, now);   // or Answered(source)
+//   sources.Failed(source, ViewFailure::Behind, now);   // or Answered(source)
 
 #include "gateway/FleetTypes.h"
 
@@ -27,13 +27,16 @@
 {
   // Hosts that follow one host.
   std::size_t followers_ = 16;
-  // A neighbour that failed or was behind is left alone for so long. Each
-  // further failure in a row doubles a pause, up to three times.
+  // A neighbour without a usable answer is left alone for so long. Each further
+  // failure in a row doubles the pause, up to twice.
   Duration neighbourPause_ = std::chrono::milliseconds(2000);
-  // The same for the store, at a host that reads it in turn, and at the others:
-  // when the store is out, they must not all call it all the time.
+  // The same for one that is behind, without doubling: when the store is out
+  // all are, and the first one to hear of its return must be asked soon after.
+  Duration behindPause_ = std::chrono::milliseconds(300);
+  // The same for the store, at a host that reads it in turn, with doubling, and
+  // at the others: when the store is out, they must not all call it often.
   Duration storePause_ = std::chrono::milliseconds(150);
-  Duration followerStorePause_ = std::chrono::milliseconds(500);
+  Duration followerStorePause_ = std::chrono::milliseconds(1000);
   // Other neighbours that are tried.
   std::size_t others_ = 3;
 };
@@ -51,6 +54,14 @@
   bool IsStore() const { return host_.empty(); }
 };
 
+enum class ViewFailure
+{
+  // No usable answer, or one that came from this host itself.
+  Unusable,
+  // An answer with an old view.
+  Behind,
+};
+
 class ViewSources
 {
 public:
@@ -63,7 +74,7 @@
   bool ReadsStore() const { return sources_.front().IsStore(); }
   ViewSource Next(TimePoint aNow) const;
   void Answered(const ViewSource& aSource);
-  void Failed(const ViewSource& aSource, TimePoint aNow);
+  void Failed(const ViewSource& aSource, ViewFailure aFailure, TimePoint aNow);
 
 private:
   std::string self_;
--- a/src/gateway/testing/InstanceHealthTest.cc
+++ b/src/gateway/testing/InstanceHealthTest.cc
@@ -102,3 +102,26 @@
   }
   CHECK(estimate.Waiting(kNow) == 3);
 }
+
+// Guards against requests to a server that has said that it leaves, or that
+// asked this host for a rest.
+TEST_CASE("A server that leaves or rests gets nothing from this host")
+{
+  HealthFleet fleet(2);
+  const InstancePtr first = fleet.table_.OfService(kService)[0];
+  const InstancePtr second = fleet.table_.OfService(kService)[1];
+  first->SetLeaving();
+  second->SetResting(kNow + std::chrono::seconds(2));
+  second->SetResting(kNow + std::chrono::seconds(1));
+  CHECK(fleet.Usable() == 0);
+  CHECK_FALSE(second->IsUsable(kNow + std::chrono::milliseconds(1999)));
+  CHECK(second->IsUsable(kNow + std::chrono::seconds(2)));
+  // The store may learn of the leaving much later.
+  fleet.table_.Apply(MakeFleet(2));
+  CHECK_FALSE(first->IsUsable(kNow + std::chrono::seconds(60)));
+  // A new lifetime under the same id knows nothing of it.
+  FleetSnapshot again = MakeFleet(2);
+  again.instances_["server-0"].born_ = 7;
+  fleet.table_.Apply(again);
+  CHECK(fleet.table_.OfService(kService)[0]->IsUsable(kNow));
+}
