Read the store when neighbours are behind; end only what can be ended

Change 1: of the sources that are not paused, the one that failed longest ago goes first, until a second after its pause. Test: "A host whose neighbours are behind reads the store next".

Change 2: from 3 s after SIGTERM (half of a shorter grace time) a request is only taken when its time limit is before the end of the process; others get 503 at once, so that the caller goes to another host. Ruled out: refusing from SIGTERM on (callers hold answers about hosts for seconds, and most requests end in time). Test: "A host that is about to end takes no request that may last longer", which without the change ends at the closed port without a refusal.

--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -34,6 +34,9 @@
   std::function<Duration(TimePoint)> viewAge_;
   // Keys are refused at a greater age.
   Duration mostViewAge_{};
+  // Whether this host can finish a request that has time until then; it may be
+  // about to end.
+  std::function<bool(TimePoint aDeadline)> mayFinish_;
   // When a refusal gives no better time.
   Duration retryAfter_ = std::chrono::milliseconds(300);
   // The longest wait for the first view after the start.
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -33,6 +33,9 @@
 // New connections are accepted for this part of the grace time after SIGTERM,
 // because callers still use earlier answers about hosts.
 constexpr double kAcceptPart = 0.6;
+// Requests that come later after SIGTERM are only taken when they end in time,
+// whatever their server does; earlier ones are few to last until the end.
+constexpr Duration kTakeAll = std::chrono::milliseconds(3000);
 // Kept for the end of the process.
 constexpr Duration kExitMargin = std::chrono::milliseconds(1000);
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
@@ -61,6 +64,7 @@
   HttpServer::Handler MakeControlHandler();
   void HandleControl(const HttpRequest& aRequest, HttpReply& aReply);
   bool IsReady() const;
+  bool MayFinish(TimePoint aDeadline) const;
   Duration ViewAge(TimePoint aNow) const;
   void WaitForSignal();
   void Reload();
@@ -73,6 +77,8 @@
   Metrics metrics_;
   MetricGauge& droppedLines_;
   std::atomic<bool> draining_{ false };
+  // Set before draining_.
+  std::atomic<TimePoint> drainSince_{ TimePoint::min() };
   DutyThread traffic_;
   DutyThread control_;
 
@@ -101,7 +107,6 @@
   asio::io_context main_;
   asio::signal_set signals_;
   asio::steady_timer drainTimer_;
-  TimePoint drainSince_;
 };
 
 Gateway::Impl::Impl(GatewaySettings aSettings, GatewayAdapter aAdapter)
@@ -160,6 +165,9 @@
   options.regions_ = settings_.regions_;
   options.headers_ = adapter_.headers_;
   options.viewAge_ = [this](TimePoint aNow) { return ViewAge(aNow); };
+  options.mayFinish_ = [this](TimePoint aDeadline) {
+    return MayFinish(aDeadline);
+  };
   options.mostViewAge_ =
     FromSeconds(kFreshPart * ToSeconds(settings_.bounds_.keyWithdrawal_));
   return options;
@@ -351,6 +359,18 @@
   return flow_.Ready() && !draining_.load();
 }
 
+bool
+Gateway::Impl::MayFinish(TimePoint aDeadline) const
+{
+  if (!draining_.load()) {
+    return true;
+  }
+  const TimePoint since = drainSince_.load();
+  const Duration grace = settings_.bounds_.grace_;
+  return BootClock::now() - since < std::min(kTakeAll, grace / 2) ||
+         aDeadline <= since + grace - kExitMargin;
+}
+
 HttpServer::Handler
 Gateway::Impl::MakeControlHandler()
 {
@@ -399,7 +419,9 @@
     }
     if (aSignal == SIGHUP) {
       Reload();
-    } else if (!draining_.exchange(true)) {
+    } else if (!draining_.load()) {
+      drainSince_ = BootClock::now();
+      draining_ = true;
       BeginDrain();
     }
     WaitForSignal();
@@ -420,7 +442,6 @@
 void
 Gateway::Impl::BeginDrain()
 {
-  drainSince_ = BootClock::now();
   LogEvent(Event::ProcessStopping);
   traffic_.Post([this] { PublishSelf(); });
   CheckDrain();
@@ -429,7 +450,7 @@
 void
 Gateway::Impl::CheckDrain()
 {
-  const Duration spent = BootClock::now() - drainSince_;
+  const Duration spent = BootClock::now() - drainSince_.load();
   const Duration grace = settings_.bounds_.grace_;
   bool idle = false;
   if (spent >= FromSeconds(ToSeconds(grace) * kAcceptPart)) {
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -98,6 +98,10 @@
     return;
   }
   SetDeadline();
+  if (!flow_.options_.mayFinish_(deadline_)) {
+    Refuse(503, "host-ends", flow_.options_.retryAfter_);
+    return;
+  }
   AskAllowance();
 }
 
--- a/src/gateway/ViewSources.cc
+++ b/src/gateway/ViewSources.cc
@@ -74,30 +74,46 @@
   sources_.front().first_ = true;
 }
 
+const ViewSources::Failure*
+ViewSources::FailureOf(const ViewSource& aSource) const
+{
+  const auto found = failures_.find(aSource.host_);
+  return found == failures_.end() ? nullptr : &found->second;
+}
+
 ViewSource
 ViewSources::Next(TimePoint aNow) const
 {
-  ViewSource next;
-  next.notBefore_ = TimePoint::max();
+  // Of the sources that are not paused, the one that failed longest ago, in the
+  // order of preference when several have not failed lately.
+  const ViewSource* best = nullptr;
+  TimePoint bestFailedAt = TimePoint::max();
+  ViewSource paused;
+  paused.notBefore_ = TimePoint::max();
   for (const ViewSource& source : sources_) {
-    const auto paused = pauses_.find(source.host_);
-    const TimePoint from =
-      paused == pauses_.end() ? TimePoint::min() : paused->second.until_;
-    if (from <= aNow) {
-      return source;
+    const Failure* failure = FailureOf(source);
+    if (failure != nullptr && failure->pausedUntil_ > aNow) {
+      if (failure->pausedUntil_ < paused.notBefore_) {
+        paused = source;
+        paused.notBefore_ = failure->pausedUntil_;
+      }
+      continue;
     }
-    if (from < next.notBefore_) {
-      next = source;
-      next.notBefore_ = from;
+    const bool lately = failure != nullptr &&
+                        aNow < failure->pausedUntil_ + options_.failureLife_;
+    const TimePoint failedAt = lately ? failure->at_ : TimePoint::min();
+    if (failedAt < bestFailedAt) {
+      best = &source;
+      bestFailedAt = failedAt;
     }
   }
-  return next;
+  return best == nullptr ? paused : *best;
 }
 
 void
 ViewSources::Answered(const ViewSource& aSource)
 {
-  pauses_.erase(aSource.host_);
+  failures_.erase(aSource.host_);
 }
 
 void
@@ -106,17 +122,18 @@
                     TimePoint aNow)
 {
   constexpr int kMostDoublings = 2;
-  Pause& pause = pauses_[aSource.host_];
-  const int factor = 1 << std::min(pause.failures_, kMostDoublings);
-  ++pause.failures_;
+  Failure& failure = failures_[aSource.host_];
+  const int factor = 1 << std::min(failure.inRow_, kMostDoublings);
+  failure.at_ = aNow;
+  ++failure.inRow_;
   if (aSource.IsStore()) {
-    pause.until_ = aNow + (ReadsStore() ? options_.storePause_ * factor
-                                        : options_.followerStorePause_);
+    failure.pausedUntil_ = aNow + (ReadsStore() ? options_.storePause_ * factor
+                                                : options_.followerStorePause_);
   } else if (aFailure == ViewFailure::Behind) {
-    pause.until_ = aNow + options_.behindPause_;
-    pause.failures_ = 0;
+    failure.pausedUntil_ = aNow + options_.behindPause_;
+    failure.inRow_ = 0;
   } else {
-    pause.until_ = aNow + options_.neighbourPause_ * factor;
+    failure.pausedUntil_ = aNow + options_.neighbourPause_ * factor;
   }
 }
 
--- a/src/gateway/ViewSources.h
+++ b/src/gateway/ViewSources.h
@@ -37,6 +37,10 @@
   // at the others: when the store is out, they must not all call it often.
   Duration storePause_ = std::chrono::milliseconds(150);
   Duration followerStorePause_ = std::chrono::milliseconds(1000);
+  // A failure counts in the choice for so long after its pause. Until then
+  // sources that did not fail go first, so that one which is asked again soon
+  // does not keep a host from the store.
+  Duration failureLife_ = std::chrono::milliseconds(1000);
   // Other neighbours that are tried.
   std::size_t others_ = 3;
 };
@@ -82,13 +86,17 @@
   ViewSourceOptions options_;
   // In the order of preference.
   std::vector<ViewSource> sources_;
-  struct Pause
+  struct Failure
   {
-    TimePoint until_;
-    int failures_ = 0;
+    TimePoint at_;
+    TimePoint pausedUntil_;
+    int inRow_ = 0;
   };
-  // By host name.
-  std::map<std::string, Pause> pauses_;
+
+  const Failure* FailureOf(const ViewSource& aSource) const;
+
+  // The last failure of a source that has not answered since, by host name.
+  std::map<std::string, Failure> failures_;
 };
 
 }
