Bound the times in answers about the view

Cause, found by reading the diff: a malformed answer of a neighbour with a time near the limits of 64 bits overflows when it is added to a time of this host.

Two rows in "Only whole answers about the view are read". gateway_test passes.

--- a/src/gateway/ViewMessages.cc
+++ b/src/gateway/ViewMessages.cc
@@ -12,6 +12,7 @@
 
 // A map with a list of maps.
 constexpr int kDepth = 4;
+constexpr std::chrono::microseconds kMostAge = std::chrono::hours(24);
 
 std::int64_t
 ToMicroseconds(Duration aDuration)
@@ -20,10 +21,13 @@
     .count();
 }
 
-Duration
+// Nothing for a time that no host's view can have.
+std::optional<Duration>
 ReadMicroseconds(const json& aMessage, const char* aField)
 {
-  return std::chrono::microseconds(aMessage.at(aField).get<std::int64_t>());
+  const std::chrono::microseconds time(aMessage.at(aField).get<std::int64_t>());
+  const bool usable = time >= -kMostAge && time <= kMostAge;
+  return usable ? std::optional<Duration>(time) : std::nullopt;
 }
 
 // Values are bytes, not text.
@@ -87,7 +91,11 @@
     answer.status_ = gone ? KvStatus::Gone : KvStatus::Done;
     answer.source_ = message->at("source").get<std::string>();
     answer.revision_ = message->at("revision").get<std::uint64_t>();
-    answer.confirmedAfter_ = ReadMicroseconds(*message, "confirmed_us");
+    const auto confirmedAfter = ReadMicroseconds(*message, "confirmed_us");
+    if (!confirmedAfter) {
+      return std::nullopt;
+    }
+    answer.confirmedAfter_ = *confirmedAfter;
     if (message->contains("store_back_us")) {
       answer.storeBack_ = ReadMicroseconds(*message, "store_back_us");
     }
--- a/src/gateway/testing/ViewTest.cc
+++ b/src/gateway/testing/ViewTest.cc
@@ -3,6 +3,7 @@
 #include "gateway/ViewSources.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
@@ -393,6 +394,8 @@
     with("source", 3),
     with("revision", "three"),
     with("confirmed_us", "late"),
+    with("confirmed_us", std::numeric_limits<std::int64_t>::max()),
+    with("confirmed_us", std::numeric_limits<std::int64_t>::min()),
     with("store_back_us", "now"),
     with("events", 4),
     with("events", json::array({ 1 })),
