--- a/src/gateway/ViewFeed.cc
+++ b/src/gateway/ViewFeed.cc
@@ -261,8 +261,8 @@
     aWait + impl_->options_.timeout_,
     [weak = std::weak_ptr<Impl>(impl_),
      aAddress,
-     callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
-                                      const Error& aError) {
+     callback = std::move(aCallback)](
+      const std::optional<HttpResponse>& aResponse, const Error& aError) {
       if (const auto self = weak.lock()) {
         self->OnAnswer(aAddress, aResponse, aError, callback);
       }
--- a/src/gateway/testing/AllowanceFleet.cc
+++ b/src/gateway/testing/AllowanceFleet.cc
@@ -239,13 +239,15 @@
     return;
   }
   const bool near = aFrom % kRegions.size() == aTo % kRegions.size();
+  const auto message =
+    std::make_shared<const AllowanceMessage>(std::move(aMessage));
   const int copies = part(random_) < faults_.doubled_ ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     const bool late = part(random_) < 0.1;
     const double way = (near ? kNearWay : kFarWay) +
                        (late ? faults_.lateSeconds_ * part(random_) : 0);
     Post(now_ + way,
-         [this, aFrom, aTo, aMessage] { Deliver(aFrom, aTo, aMessage); });
+         [this, aFrom, aTo, message] { Deliver(aFrom, aTo, *message); });
   }
 }
 
--- a/src/gateway/testing/AllowanceFleetTest.cc
+++ b/src/gateway/testing/AllowanceFleetTest.cc
@@ -20,6 +20,7 @@
 RatesOf(int aCustomers)
 {
   std::vector<double> rates;
+  rates.reserve(static_cast<std::size_t>(aCustomers));
   for (int i = 0; i < aCustomers; ++i) {
     rates.push_back(i % 12 == 0 ? 90 : 3 + 0.5 * (i % 12));
   }
--- a/src/gateway/testing/ViewTest.cc
+++ b/src/gateway/testing/ViewTest.cc
@@ -301,6 +301,7 @@
     std::uint64_t hostAt = followerFirst ? 0 : read(host);
     const std::uint64_t begun = revision;
     std::vector<KvItem> items;
+    items.reserve(store.size());
     for (const auto& [key, at] : store) {
       items.push_back(Item(key, at));
     }
