Keep the users' key names out of a gateway test

Cause: two keys in a test of the gateway slice were spelled as on the users' wire, which only platform/ knows. No assertion reads them. gateway_test passes.

--- a/src/gateway/testing/ViewTest.cc
+++ b/src/gateway/testing/ViewTest.cc
@@ -361,7 +361,7 @@
 {
   ViewAnswer answer;
   answer.status_ = KvStatus::Done;
-  answer.events_ = { Item("op/config", 8), Item("servers/i", 9, true) };
+  answer.events_ = { Item("configuration", 8), Item("server", 9, true) };
   answer.events_[0].value_ = std::string("\xff\x00{", 3);
   answer.revision_ = 9;
   answer.confirmedAfter_ = -std::chrono::milliseconds(250);
