Log lost servers, confirmed deaths and due verdicts of suspected requests

Events 8005 (connection lost in a request, with its fingerprint), 8006 (death confirmed, with the count) and 8007 (the verdict is to wait). No decision changes.

--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -78,6 +78,9 @@
   RequestQuarantined = 8002,
   BackendConnectionSilent = 8003,
   InstanceRecordRefused = 8004,
+  ServerLostInRequest = 8005,
+  ServerDeathConfirmed = 8006,
+  SuspectHeld = 8007,
   // 9000: steering
   RegionWeightChanged = 9001,
   RegionDrainPlanned = 9002,
--- a/src/base/EventTable.cc
+++ b/src/base/EventTable.cc
@@ -226,6 +226,20 @@
     Level::Warning,
     "The registration of a backend server cannot be read; it names no server "
     "to use." },
+  { Event::ServerLostInRequest,
+    "server-lost-in-request",
+    Level::Info,
+    "The connection to a backend server was lost in a request, which may have "
+    "crashed it." },
+  { Event::ServerDeathConfirmed,
+    "server-death-confirmed",
+    Level::Info,
+    "A backend server whose connection was lost in a request cannot be "
+    "reached." },
+  { Event::SuspectHeld,
+    "suspect-held",
+    Level::Info,
+    "A request that may crash backend servers awaits a decision." },
   { Event::RegionWeightChanged,
     "region-weight-changed",
     Level::Info,
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -167,6 +167,10 @@
     Refuse(503, "quarantined", std::chrono::seconds(60));
     return false;
   }
+  if (verdict == QuarantineVerdict::Wait) {
+    LogEvent(Event::SuspectHeld,
+             { { "request", requestId_ }, { "fingerprint", fingerprint_ } });
+  }
   return true;
 }
 
@@ -410,13 +414,24 @@
   if (aResult.outcome_ == ExchangeOutcome::Answered) {
     flow_.quarantine_.Completed(fingerprint_, now);
   } else if (signal == InstanceSignal::ConnectionLost) {
+    LogEvent(Event::ServerLostInRequest,
+             { { "request", requestId_ },
+               { "fingerprint", fingerprint_ },
+               { "server", id } });
     flow_.quarantine_.Died(fingerprint_, id, now);
     flow_.connections_.CloseIdle(aInstance);
   }
   if (signal == InstanceSignal::Unreachable ||
       signal == InstanceSignal::Success) {
-    flow_.quarantine_.ServerChecked(
+    const auto notices = flow_.quarantine_.ServerChecked(
       id, signal == InstanceSignal::Success, now, now);
+    for (const QuarantineNotice& notice : notices) {
+      LogEvent(Event::ServerDeathConfirmed,
+               { { "fingerprint", notice.fingerprint_ },
+                 { "server", id },
+                 { "deaths", notice.servers_.size() },
+                 { "quarantined", notice.quarantined_ ? 1 : 0 } });
+    }
   }
   flow_.quarantine_.Ended(fingerprint_);
 }
