--- a/src/backend/BackendProbes.cc
+++ b/src/backend/BackendProbes.cc
@@ -137,7 +137,7 @@
       LogEvent(Event::RequestQuarantined,
                { { "fingerprint", notice.fingerprint_ },
                  { "last_server", aServer },
-                 { "servers", notice.servers_.size() } });
+                 { "servers", notice.deaths_.size() } });
     }
     const auto bytes = EncodeQuarantineNotice(notice);
     sendNotice_(std::string(bytes.begin(), bytes.end()));
--- a/src/backend/Quarantine.cc
+++ b/src/backend/Quarantine.cc
@@ -1,117 +1,53 @@
 #include "backend/Quarantine.h"
 
-#include "base/BoundedCbor.h"
 #include "base/Hash.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace peridotsail {
 
 namespace {
 
-constexpr std::size_t kFingerprintDigits = 32;
-constexpr std::size_t kMostNoticeServers = 16;
-constexpr std::size_t kLongestServerName = 100;
-constexpr std::size_t kMostNoticeBytes = 4096;
 constexpr std::size_t kMostServerDeaths = 1024;
-// The notice and its list of servers.
-constexpr int kMaxDepth = 2;
 
-bool
-IsFingerprint(const std::string& aText)
-{
-  return aText.size() == kFingerprintDigits &&
-         aText.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
-}
-
-std::string
-MakeFingerprint(std::string_view aCustomer,
-                std::string_view aMethod,
-                std::string_view aTarget,
-                std::uint64_t aBodySize,
-                std::string_view aBodyStart)
+Quarantine::Quarantine(QuarantineOptions aOptions)
+  : options_(aOptions)
+  , completions_(aOptions.completionSlots_)
 {
-  // Sizes come before the texts, so that no two requests have the same input.
-  std::string input;
-  for (const std::string_view part : { aCustomer, aMethod, aTarget }) {
-    input += std::to_string(part.size());
-    input += ':';
-    input += part;
-  }
-  input += std::to_string(aBodySize);
-  input += ':';
-  input += aBodyStart;
-  return Sha256Hex(input).substr(0, kFingerprintDigits);
 }
 
-std::vector<std::uint8_t>
-EncodeQuarantineNotice(const QuarantineNotice& aNotice)
+bool
+Quarantine::CompletedSince(const std::string& aFingerprint,
+                           TimePoint aTime) const
 {
-  return nlohmann::json::to_cbor(
-    { { "type", "QuarantineNotice" },
-      { "fingerprint", aNotice.fingerprint_ },
-      { "servers", aNotice.servers_ },
-      { "quarantined", aNotice.quarantined_ },
-      { "age_ms", std::max<std::int64_t>(0, ToMilliseconds(aNotice.age_)) } });
+  const std::uint64_t hash = StableHash(aFingerprint);
+  const Completion& slot = completions_[CompletionSlot(hash)];
+  return slot.hash_ == hash && slot.time_ >= aTime;
 }
 
-std::optional<QuarantineNotice>
-DecodeQuarantineNotice(const std::vector<std::uint8_t>& aBytes)
+bool
+Quarantine::IsClearedBy(TimePoint aCompletedAt, TimePoint aDiedAt) const
 {
-  if (aBytes.size() > kMostNoticeBytes) {
-    return std::nullopt;
-  }
-  const std::string_view bytes(reinterpret_cast<const char*>(aBytes.data()),
-                               aBytes.size());
-  const nlohmann::json json =
-    DecodeBoundedCbor(bytes, kMaxDepth).value_or(nullptr);
-  if (!json.is_object() || json.value("type", nlohmann::json()) !=
-                             nlohmann::json("QuarantineNotice")) {
-    return std::nullopt;
-  }
-  const auto fingerprint = json.find("fingerprint");
-  const auto servers = json.find("servers");
-  const auto quarantined = json.find("quarantined");
-  const auto age = json.find("age_ms");
-  if (fingerprint == json.end() || !fingerprint->is_string() ||
-      servers == json.end() || !servers->is_array() ||
-      servers->size() > kMostNoticeServers || quarantined == json.end() ||
-      !quarantined->is_boolean() || age == json.end() ||
-      !age->is_number_unsigned() ||
-      age->get<std::uint64_t>() > 24ULL * 3600 * 1000) {
-    return std::nullopt;
-  }
-  QuarantineNotice notice;
-  notice.fingerprint_ = fingerprint->get<std::string>();
-  notice.quarantined_ = quarantined->get<bool>();
-  notice.age_ = std::chrono::milliseconds(age->get<std::int64_t>());
-  for (const auto& server : *servers) {
-    if (!server.is_string() ||
-        server.get_ref<const std::string&>().size() > kLongestServerName) {
-      return std::nullopt;
-    }
-    notice.servers_.push_back(server.get<std::string>());
-  }
-  return IsFingerprint(notice.fingerprint_) ? std::optional(notice)
-                                            : std::nullopt;
+  return aDiedAt <= aCompletedAt + options_.completionEvidence_;
 }
 
-Quarantine::Quarantine(QuarantineOptions aOptions)
-  : options_(aOptions)
-  , completions_(aOptions.completionSlots_)
+std::optional<TimePoint>
+Quarantine::LastCompletion(const std::string& aFingerprint) const
 {
+  const std::uint64_t hash = StableHash(aFingerprint);
+  const Completion& slot = completions_[CompletionSlot(hash)];
+  return slot.hash_ == hash ? std::optional(slot.time_) : std::nullopt;
 }
 
-bool
-Quarantine::CompletedSince(const std::string& aFingerprint,
-                           TimePoint aTime) const
+std::size_t
+Quarantine::Suspect::Confirmed() const
 {
-  const std::uint64_t hash = StableHash(aFingerprint);
-  const Completion& slot = completions_[hash & (completions_.size() - 1)];
-  return slot.hash_ == hash && slot.time_ >= aTime;
+  return static_cast<std::size_t>(
+    std::count_if(deaths_.begin(), deaths_.end(), [](const auto& aEntry) {
+      return aEntry.second.confirmed_;
+    }));
 }
 
 bool
@@ -164,14 +100,26 @@
   return suspect;
 }
 
+bool
+Quarantine::AwaitsObjections(const Suspect& aSuspect, TimePoint aNow) const
+{
+  return aSuspect.seriousSince_ &&
+         aNow - *aSuspect.seriousSince_ < options_.objectionTime_;
+}
+
 void
 Quarantine::Decide(Suspect& aSuspect, TimePoint aNow)
 {
-  const auto confirmed = static_cast<std::size_t>(std::count_if(
-    aSuspect.deaths_.begin(), aSuspect.deaths_.end(), [](const auto& aEntry) {
-      return aEntry.second.confirmed_;
-    }));
-  if (!aSuspect.refusedSince_ && confirmed >= Needed(aSuspect)) {
+  const std::size_t confirmed = aSuspect.Confirmed();
+  if (confirmed < options_.seriousDeaths_) {
+    aSuspect.seriousSince_.reset();
+  } else if (!aSuspect.seriousSince_) {
+    aSuspect.seriousSince_ = aNow;
+  }
+  const bool enough = !aSuspect.refusedSince_ &&
+                      confirmed >= options_.serversNeeded_ &&
+                      !AwaitsObjections(aSuspect, aNow);
+  if (enough && confirmed >= Needed(aSuspect)) {
     aSuspect.refusedSince_ = aNow;
   }
 }
@@ -200,6 +148,7 @@
   while (!serverDeaths_.empty() &&
          (aNow - serverDeaths_.front().time_ > options_.lifetime_ ||
           serverDeaths_.size() > kMostServerDeaths)) {
+    knownDead_.erase(serverDeaths_.front().server_);
     serverDeaths_.pop_front();
   }
 }
@@ -221,7 +170,7 @@
   if (suspect.refusedSince_) {
     return QuarantineVerdict::Refuse;
   }
-  if (running_.count(aFingerprint) > 0 ||
+  if (running_.count(aFingerprint) > 0 || AwaitsObjections(suspect, aNow) ||
       suspect.deaths_.size() >= Needed(suspect)) {
     return QuarantineVerdict::Wait;
   }
@@ -247,7 +196,7 @@
 Quarantine::Completed(const std::string& aFingerprint, TimePoint aNow)
 {
   const std::uint64_t hash = StableHash(aFingerprint);
-  completions_[hash & (completions_.size() - 1)] = { hash, aNow };
+  completions_[CompletionSlot(hash)] = { hash, aNow };
   suspects_.erase(aFingerprint);
 }
 
@@ -267,7 +216,7 @@
 }
 
 void
-Quarantine::LogServerDeath(const std::string& aServer, TimePoint aTime)
+Quarantine::NoteServerDeath(const std::string& aServer, TimePoint aTime)
 {
   if (knownDead_.insert(aServer).second) {
     serverDeaths_.push_back({ aServer, aTime });
@@ -285,7 +234,7 @@
   if (aAlive) {
     knownDead_.erase(aServer);
   } else {
-    LogServerDeath(aServer, aNow);
+    NoteServerDeath(aServer, aNow);
   }
   for (auto it = suspects_.begin(); it != suspects_.end();) {
     Suspect& suspect = it->second;
@@ -304,22 +253,22 @@
     }
     death->second.confirmed_ = true;
     Decide(suspect, aNow);
-    notices.push_back(NoticeOf(it->first, suspect, aNow));
+    notices.push_back(MakeNotice(it->first, suspect, aNow));
     ++it;
   }
   return notices;
 }
 
 QuarantineNotice
-Quarantine::NoticeOf(const std::string& aFingerprint,
-                     const Suspect& aSuspect,
-                     TimePoint aNow) const
+Quarantine::MakeNotice(const std::string& aFingerprint,
+                       const Suspect& aSuspect,
+                       TimePoint aNow)
 {
   QuarantineNotice notice;
   notice.fingerprint_ = aFingerprint;
   for (const auto& [server, death] : aSuspect.deaths_) {
-    if (death.confirmed_ && notice.servers_.size() < kMostNoticeServers) {
-      notice.servers_.push_back(server);
+    if (death.confirmed_) {
+      notice.deaths_.push_back({ server, aNow - death.time_ });
     }
   }
   notice.quarantined_ = aSuspect.refusedSince_.has_value();
@@ -327,40 +276,129 @@
   return notice;
 }
 
+QuarantineNotice
+Quarantine::NoticeOf(const std::string& aFingerprint, TimePoint aNow) const
+{
+  const auto found = suspects_.find(aFingerprint);
+  return found == suspects_.end()
+           ? QuarantineNotice{ aFingerprint, {}, false, {} }
+           : MakeNotice(aFingerprint, found->second, aNow);
+}
+
 void
 Quarantine::Apply(const QuarantineNotice& aNotice, TimePoint aNow)
 {
   Forget(aNow);
-  if (aNotice.age_ > options_.lifetime_ ||
-      CompletedSince(aNotice.fingerprint_,
-                     aNow - aNotice.age_ - options_.completionEvidence_)) {
+  const auto completed = LastCompletion(aNotice.fingerprint_);
+  for (const QuarantineDeath& entry : aNotice.deaths_) {
+    const TimePoint time = aNow - entry.age_;
+    if (entry.age_ > options_.lifetime_ ||
+        (completed && IsClearedBy(*completed, time))) {
+      continue;
+    }
+    Suspect& suspect = SuspectOf(aNotice.fingerprint_, aNow);
+    Suspect::Death& death = suspect.deaths_[entry.server_];
+    if (!death.confirmed_) {
+      death = { time, true };
+    }
+    NoteServerDeath(entry.server_, time);
+  }
+  const TimePoint since = aNow - aNotice.age_;
+  if (aNotice.quarantined_ && aNotice.age_ <= options_.lifetime_ &&
+      !(completed && IsClearedBy(*completed, since))) {
+    Suspect& suspect = SuspectOf(aNotice.fingerprint_, aNow);
+    suspect.refusedSince_ = suspect.refusedSince_.value_or(since);
+  }
+  const auto found = suspects_.find(aNotice.fingerprint_);
+  if (found != suspects_.end()) {
+    Decide(found->second, aNow);
+  }
+}
+
+void
+Quarantine::CompletedElsewhere(const std::string& aFingerprint,
+                               TimePoint aCompletedAt)
+{
+  const std::uint64_t hash = StableHash(aFingerprint);
+  Completion& slot = completions_[CompletionSlot(hash)];
+  if (slot.hash_ != hash || slot.time_ < aCompletedAt) {
+    slot = { hash, aCompletedAt };
+  }
+  const auto found = suspects_.find(aFingerprint);
+  if (found == suspects_.end()) {
     return;
   }
-  Suspect& suspect = SuspectOf(aNotice.fingerprint_, aNow);
-  for (const std::string& server : aNotice.servers_) {
-    Suspect::Death& death = suspect.deaths_[server];
-    if (!death.confirmed_) {
-      death = { aNow - aNotice.age_, true };
+  Suspect& suspect = found->second;
+  auto& deaths = suspect.deaths_;
+  const std::size_t before = deaths.size();
+  for (auto it = deaths.begin(); it != deaths.end();) {
+    it = IsClearedBy(aCompletedAt, it->second.time_) ? deaths.erase(it)
+                                                     : std::next(it);
+  }
+  const std::size_t confirmed = suspect.Confirmed();
+  if (confirmed < options_.seriousDeaths_) {
+    suspect.seriousSince_.reset();
+  }
+  const bool tooFew =
+    deaths.size() < before && confirmed < options_.serversNeeded_;
+  if (suspect.refusedSince_ &&
+      (tooFew || IsClearedBy(aCompletedAt, *suspect.refusedSince_))) {
+    suspect.refusedSince_.reset();
+  }
+  if (deaths.empty() && !suspect.refusedSince_) {
+    suspects_.erase(found);
+  }
+}
+
+std::vector<QuarantineDeath>
+Quarantine::RecentDeaths(std::size_t aMost, TimePoint aNow) const
+{
+  std::vector<QuarantineDeath> recent;
+  for (auto it = serverDeaths_.rbegin();
+       it != serverDeaths_.rend() && recent.size() < aMost;
+       ++it) {
+    if (aNow - it->time_ <= options_.commonCauseTime_) {
+      recent.push_back({ it->server_, aNow - it->time_ });
     }
-    serverDeaths_.push_back({ server, aNow - aNotice.age_ });
   }
-  if (aNotice.quarantined_ && !suspect.refusedSince_) {
-    suspect.refusedSince_ = aNow - aNotice.age_;
+  return recent;
+}
+
+std::optional<TimePoint>
+Quarantine::NextDecision(TimePoint aNow) const
+{
+  std::optional<TimePoint> next;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    const bool open =
+      !suspect.refusedSince_ && suspect.Confirmed() >= options_.serversNeeded_;
+    if (open && AwaitsObjections(suspect, aNow)) {
+      const TimePoint at = *suspect.seriousSince_ + options_.objectionTime_;
+      next = next ? std::min(*next, at) : at;
+    }
   }
-  Decide(suspect, aNow);
+  return next;
 }
 
-std::vector<std::string>
+std::vector<QuarantineNotice>
+Quarantine::DecideAll(TimePoint aNow)
+{
+  for (auto& [fingerprint, suspect] : suspects_) {
+    Decide(suspect, aNow);
+  }
+  return Refused(aNow);
+}
+
+std::vector<QuarantineNotice>
 Quarantine::Refused(TimePoint aNow) const
 {
-  std::vector<std::string> fingerprints;
+  std::vector<QuarantineNotice> refused;
   for (const auto& [fingerprint, suspect] : suspects_) {
     if (suspect.refusedSince_ &&
         aNow - *suspect.refusedSince_ <= options_.lifetime_) {
-      fingerprints.push_back(fingerprint);
+      refused.push_back(MakeNotice(fingerprint, suspect, aNow));
     }
   }
-  return fingerprints;
+  return refused;
 }
 
 }
--- a/src/backend/Quarantine.h
+++ b/src/backend/Quarantine.h
@@ -23,7 +23,10 @@
 //   it, is innocent: a request of the kind looked for never completes.
 // - A suspected fingerprint runs once at a time on a host, and waits while
 //   enough deaths for a quarantine await their confirmation.
+// - Where hosts can object (objectionTime_), a fingerprint waits that long once
+//   its deaths are serious, and is not refused before.
 
+#include "backend/QuarantineNotice.h"
 #include "base/BootClock.h"
 
 #include <cstdint>
@@ -32,41 +35,11 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace peridotsail {
 
-// The fingerprint of a request: 32 hexadecimal digits. aBodyStart is the part
-// of the body that is at hand when a server is chosen. The customer belongs to
-// it, so that no customer can have another one's requests refused.
-std::string
-MakeFingerprint(std::string_view aCustomer,
-                std::string_view aMethod,
-                std::string_view aTarget,
-                std::uint64_t aBodySize,
-                std::string_view aBodyStart);
-
-// Tells peers of servers that died under a fingerprint.
-struct QuarantineNotice
-{
-  std::string fingerprint_;
-  // Servers whose deaths under it are confirmed.
-  std::vector<std::string> servers_;
-  // The sender refuses the fingerprint.
-  bool quarantined_ = false;
-  // Time since the last of the deaths, or since the quarantine began. Ages are
-  // sent because hosts do not share a clock.
-  Duration age_{};
-};
-
-// CBOR. Decoding returns nothing for a malformed, oversized or unknown message.
-std::vector<std::uint8_t>
-EncodeQuarantineNotice(const QuarantineNotice& aNotice);
-std::optional<QuarantineNotice>
-DecodeQuarantineNotice(const std::vector<std::uint8_t>& aBytes);
-
 enum class QuarantineVerdict
 {
   Run,
@@ -87,6 +60,10 @@
   // A completion this recent shows that a request was not the cause.
   Duration completionEvidence_ = std::chrono::seconds(5);
   std::size_t serversNeeded_ = 2;
+  // From so many confirmed deaths on, other hosts have objectionTime_ to tell
+  // that the request completed there.
+  std::size_t seriousDeaths_ = 2;
+  Duration objectionTime_{};
   // The most by which unexplained deaths raise serversNeeded_.
   std::size_t mostRaised_ = 3;
   // Bounds of memory; the oldest are dropped.
@@ -117,8 +94,28 @@
                                               TimePoint aBegun,
                                               TimePoint aNow);
   void Apply(const QuarantineNotice& aNotice, TimePoint aNow);
-  // The fingerprints that are refused now.
-  std::vector<std::string> Refused(TimePoint aNow) const;
+  // A server died under another request, or another host saw it die.
+  void NoteServerDeath(const std::string& aServer, TimePoint aTime);
+  // The request completed at another host.
+  void CompletedElsewhere(const std::string& aFingerprint,
+                          TimePoint aCompletedAt);
+  // Whether a completion shows that the request did not cause a death.
+  bool IsClearedBy(TimePoint aCompletedAt, TimePoint aDiedAt) const;
+  // The last completion that is remembered.
+  std::optional<TimePoint> LastCompletion(
+    const std::string& aFingerprint) const;
+  // What is known of the fingerprint; no deaths when it is not suspected.
+  QuarantineNotice NoticeOf(const std::string& aFingerprint,
+                            TimePoint aNow) const;
+  // The last servers that died, whatever the cause.
+  std::vector<QuarantineDeath> RecentDeaths(std::size_t aMost,
+                                            TimePoint aNow) const;
+  // When the next objection time ends after which a request may be refused.
+  std::optional<TimePoint> NextDecision(TimePoint aNow) const;
+  // Decides on all suspects, and returns those that are refused.
+  std::vector<QuarantineNotice> DecideAll(TimePoint aNow);
+  // Those that are refused now.
+  std::vector<QuarantineNotice> Refused(TimePoint aNow) const;
 
 private:
   struct Suspect
@@ -131,7 +128,11 @@
     };
     std::map<std::string, Death> deaths_;
     TimePoint last_;
+    // Since when the confirmed deaths are serious.
+    std::optional<TimePoint> seriousSince_;
     std::optional<TimePoint> refusedSince_;
+
+    std::size_t Confirmed() const;
   };
   struct ServerDeath
   {
@@ -148,13 +149,18 @@
   bool ExplainedByQuarantine(const std::string& aServer) const;
   bool CompletedSince(const std::string& aFingerprint, TimePoint aTime) const;
   Suspect& SuspectOf(const std::string& aFingerprint, TimePoint aNow);
+  bool AwaitsObjections(const Suspect& aSuspect, TimePoint aNow) const;
   void Decide(Suspect& aSuspect, TimePoint aNow);
-  void LogServerDeath(const std::string& aServer, TimePoint aTime);
   void Forget(TimePoint aNow);
   void ForgetUnconfirmed(Suspect& aSuspect, TimePoint aNow) const;
-  QuarantineNotice NoticeOf(const std::string& aFingerprint,
-                            const Suspect& aSuspect,
-                            TimePoint aNow) const;
+  static QuarantineNotice MakeNotice(const std::string& aFingerprint,
+                                     const Suspect& aSuspect,
+                                     TimePoint aNow);
+  // The slot of the fingerprint's hash, which another one may share.
+  std::size_t CompletionSlot(std::uint64_t aHash) const
+  {
+    return aHash & (completions_.size() - 1);
+  }
 
   QuarantineOptions options_;
   std::map<std::string, Suspect> suspects_;
--- a/src/backend/testing/QuarantineTest.cc
+++ b/src/backend/testing/QuarantineTest.cc
@@ -264,11 +264,17 @@
 // Guards against malformed messages from peers.
 TEST_CASE("a malformed quarantine notice is dropped")
 {
-  const QuarantineNotice notice{
-    kPoison, { "a", "b" }, true, std::chrono::milliseconds(30)
-  };
+  const QuarantineNotice notice{ kPoison,
+                                 { { "a", std::chrono::milliseconds(40) },
+                                   { "b", std::chrono::milliseconds(30) } },
+                                 true,
+                                 std::chrono::milliseconds(30) };
   const std::vector<std::uint8_t> good = EncodeQuarantineNotice(notice);
-  REQUIRE(DecodeQuarantineNotice(good)->servers_ == notice.servers_);
+  const auto whole = DecodeQuarantineNotice(good);
+  REQUIRE(whole);
+  REQUIRE(whole->deaths_.size() == 2);
+  REQUIRE(whole->deaths_[0].server_ == "a");
+  REQUIRE(whole->deaths_[0].age_ == notice.deaths_[0].age_);
   std::mt19937_64 random(5);
   for (int i = 0; i < 5000; ++i) {
     std::vector<std::uint8_t> bytes = good;
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -63,7 +63,7 @@
   ServerFull = 5010,
   ViewNotConfirmed = 5011,
   LoanTaken = 5012,
-  AllowanceMessageDropped = 5013,
+  PeerDatagramDropped = 5013,
   // 7000: at-most-once execution
   ClaimsLoaded = 7001,
   ClaimRecordMalformed = 7002,
--- a/src/base/EventTable.cc
+++ b/src/base/EventTable.cc
@@ -174,11 +174,11 @@
     "loan-taken",
     Level::Info,
     "The owner of another share of a customer's allowance gave tokens." },
-  { Event::AllowanceMessageDropped,
-    "allowance-message-dropped",
+  { Event::PeerDatagramDropped,
+    "peer-datagram-dropped",
     Level::Info,
-    "A datagram about allowances is malformed, of no registered host, or "
-    "could not be sent." },
+    "A datagram between hosts is malformed, of no registered host, or could "
+    "not be sent." },
   { Event::SlotDecision,
     "slot-decision",
     Level::Info,
--- a/src/gateway/AllowanceChannel.cc
+++ b/src/gateway/AllowanceChannel.cc
@@ -8,14 +8,13 @@
 
 namespace peridotsail::detail {
 
-using Udp = asio::ip::udp;
-
 AllowanceChannel::AllowanceChannel(asio::io_context& aContext,
+                                   PeerDatagrams& aDatagrams,
                                    AllowanceOwners& aOwners,
                                    CustomerAllowances& aAllowances,
                                    std::function<std::uint64_t()> aVersion,
                                    std::function<Duration(TimePoint)> aViewAge)
-  : owners_(aOwners)
+  : datagrams_(aDatagrams)
   , version_(std::move(aVersion))
   , gate_(aAllowances,
           aOwners,
@@ -23,9 +22,12 @@
           MakeHooks(std::move(aViewAge)),
           std::random_device()())
   , loans_(aAllowances, aOwners, {}, std::random_device()())
-  , socket_(aContext)
   , timer_(aContext)
 {
+  datagrams_.AddReceiver(
+    [this](const std::string& aBytes, const std::string& aFrom) {
+      return OnDatagram(aBytes, aFrom);
+    });
 }
 
 GateHooks
@@ -35,39 +37,16 @@
   hooks.viewAge_ = std::move(aViewAge);
   hooks.send_ = [this](const std::string& aAddress,
                        const TakeRequest& aRequest) {
-    SendTo(aRequest, aAddress);
+    Send(aRequest, aAddress);
   };
   hooks.onTaken_ = [this](const ShareKey& aShare) {
     if (const auto ask = loans_.Ask(aShare, version_(), BootClock::now())) {
-      SendTo(ask->request_, ask->address_);
+      Send(ask->request_, ask->address_);
     }
   };
   return hooks;
 }
 
-bool
-AllowanceChannel::Listen(const Address& aAddress, Error& aError)
-{
-  ErrorCode error;
-  const Udp::endpoint endpoint(asio::ip::make_address(aAddress.ip_),
-                               aAddress.port_);
-  socket_.open(endpoint.protocol(), error);
-  if (!error) {
-    socket_.bind(endpoint, error);
-  }
-  if (!error) {
-    socket_.non_blocking(true, error);
-  }
-  if (error) {
-    aError = { ErrorKind::Internal,
-               "cannot receive datagrams on " + AddressText(aAddress) + ": " +
-                 error.message() };
-    return false;
-  }
-  Receive();
-  return true;
-}
-
 void
 AllowanceChannel::Admit(const GatewayCustomer& aCustomer,
                         AllowanceGate::Callback aCallback)
@@ -102,42 +81,19 @@
   });
 }
 
-void
-AllowanceChannel::Receive()
-{
-  socket_.async_receive_from(asio::buffer(buffer_),
-                             sender_,
-                             [this](ErrorCode aError, std::size_t aBytes) {
-                               if (aError == asio::error::operation_aborted) {
-                                 return;
-                               }
-                               // Other errors tell of earlier datagrams that
-                               // did not arrive.
-                               if (!aError) {
-                                 OnDatagram(
-                                   std::string(buffer_.data(), aBytes));
-                               }
-                               Receive();
-                             });
-}
-
-void
-AllowanceChannel::OnDatagram(const std::string& aBytes)
+bool
+AllowanceChannel::OnDatagram(const std::string& aBytes,
+                             const std::string& aFrom)
 {
-  const std::string peer =
-    AddressText({ sender_.address().to_string(), sender_.port() });
-  const bool known = owners_.Knows(peer);
-  const auto message =
-    known ? DecodeAllowanceMessage(aBytes) : std::optional<AllowanceMessage>();
+  const auto message = DecodeAllowanceMessage(aBytes);
   if (!message) {
-    LogEvent(Event::AllowanceMessageDropped,
-             { { "from", peer }, { "known", known ? 1 : 0 } });
-    return;
+    return false;
   }
   if (const auto answer = AnswerOf(*message, BootClock::now())) {
-    Send(*answer, sender_);
+    Send(*answer, aFrom);
   }
   SetTimer();
+  return true;
 }
 
 std::optional<AllowanceMessage>
@@ -160,35 +116,11 @@
   return std::nullopt;
 }
 
-void
-AllowanceChannel::SendTo(const AllowanceMessage& aMessage,
-                         const std::string& aAddress)
-{
-  const auto address = ParseAddress(aAddress);
-  if (!address) {
-    LogEvent(Event::AllowanceMessageDropped,
-             { { "to", aAddress }, { "reason", "not an address" } });
-    return;
-  }
-  Send(aMessage, { asio::ip::make_address(address->ip_), address->port_ });
-}
-
 void
 AllowanceChannel::Send(const AllowanceMessage& aMessage,
-                       const Udp::endpoint& aReceiver)
+                       const std::string& aAddress)
 {
-  ErrorCode error;
-  if (socket_.is_open()) {
-    socket_.send_to(
-      asio::buffer(EncodeAllowanceMessage(aMessage)), aReceiver, 0, error);
-  } else {
-    error = asio::error::not_connected;
-  }
-  if (error) {
-    LogEvent(Event::AllowanceMessageDropped,
-             { { "to", aReceiver.address().to_string() },
-               { "reason", error.message() } });
-  }
+  datagrams_.Send(EncodeAllowanceMessage(aMessage), aAddress);
 }
 
 }
--- a/src/gateway/AllowanceOwners.cc
+++ b/src/gateway/AllowanceOwners.cc
@@ -94,23 +94,31 @@
   return true;
 }
 
+const AllowanceOwner*
+AllowanceOwners::FirstHost(std::size_t aShare,
+                           const std::string& aKey,
+                           std::uint64_t aSeed) const
+{
+  const std::uint64_t key = StableHash(aKey, aSeed);
+  const AllowanceOwner* best = nullptr;
+  std::uint64_t bestScore = 0;
+  for (const AllowanceOwner& owner : candidates_[aShare]) {
+    const std::uint64_t score = MixHash(key ^ owner.hash_);
+    if (best == nullptr || score > bestScore) {
+      best = &owner;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
 const AllowanceOwner*
 AllowanceOwners::OwnerOf(const ShareKey& aShare)
 {
   auto [it, added] = found_.try_emplace(aShare.customer_);
   if (added) {
     for (std::size_t share = 0; share < Shares(); ++share) {
-      const std::uint64_t key = StableHash(aShare.customer_, share);
-      const AllowanceOwner* best = nullptr;
-      std::uint64_t bestScore = 0;
-      for (const AllowanceOwner& owner : candidates_[share]) {
-        const std::uint64_t score = MixHash(key ^ owner.hash_);
-        if (best == nullptr || score > bestScore) {
-          best = &owner;
-          bestScore = score;
-        }
-      }
-      it->second.push_back(best);
+      it->second.push_back(FirstHost(share, aShare.customer_, share));
     }
   }
   return aShare.share_ < Shares() ? it->second[aShare.share_] : nullptr;
--- a/src/gateway/AllowanceOwners.h
+++ b/src/gateway/AllowanceOwners.h
@@ -66,6 +66,16 @@
   // Null while no host is known. Valid until the next SetHosts.
   const AllowanceOwner* OwnerOf(const ShareKey& aShare);
   bool OwnedHere(const ShareKey& aShare);
+  // The hosts that may own a share: those of its region that stay.
+  const std::vector<AllowanceOwner>& HostsOf(std::size_t aShare) const
+  {
+    return candidates_[aShare];
+  }
+  // The first of them in the rendezvous order of a key. Null while no host is
+  // known. Valid until the next SetHosts.
+  const AllowanceOwner* FirstHost(std::size_t aShare,
+                                  const std::string& aKey,
+                                  std::uint64_t aSeed) const;
   // Whether a host that was registered since this one's start receives
   // datagrams at this address: the registration of a host that the store turns
   // away ends, and the host goes on serving callers.
--- /dev/null
+++ b/src/gateway/FleetQuarantine.cc
@@ -0,0 +1,399 @@
+#include "gateway/FleetQuarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotsail {
+
+namespace {
+
+// A request under which so many servers died is the business of all hosts.
+constexpr std::size_t kSeriousDeaths = 2;
+// Seeds of the rendezvous order, so that collectors and the owners of shares
+// of a customer with the same name differ.
+constexpr std::uint64_t kFirstCollector = 1000;
+constexpr std::uint64_t kSecondCollector = 2000;
+
+bool
+IsSerious(const QuarantineNotice& aNotice)
+{
+  return aNotice.quarantined_ || aNotice.deaths_.size() >= kSeriousDeaths;
+}
+
+}
+
+FleetQuarantineOptions::FleetQuarantineOptions()
+{
+  quarantine_.serversNeeded_ = 3;
+  quarantine_.mostRaised_ = 2;
+  quarantine_.seriousDeaths_ = kSeriousDeaths;
+  // Three ways to another region: the collector's word, the objection, and its
+  // way on, with a margin.
+  quarantine_.objectionTime_ = std::chrono::milliseconds(250);
+}
+
+FleetQuarantine::FleetQuarantine(FleetQuarantineOptions aOptions,
+                                 const AllowanceOwners& aHosts,
+                                 FleetQuarantineHooks aHooks)
+  : options_(aOptions)
+  , hosts_(aHosts)
+  , hooks_(std::move(aHooks))
+  , quarantine_(aOptions.quarantine_)
+{
+}
+
+std::vector<std::string>
+FleetQuarantine::Collectors(const std::string& aFingerprint, bool& aSelf) const
+{
+  std::set<std::string> addresses;
+  aSelf = false;
+  const auto add = [&](std::size_t aShare, std::uint64_t aSeed) {
+    const AllowanceOwner* host =
+      hosts_.FirstHost(aShare, aFingerprint, aSeed + aShare);
+    if (host != nullptr && host->self_) {
+      aSelf = true;
+    } else if (host != nullptr) {
+      addresses.insert(host->address_);
+    }
+  };
+  for (std::size_t share = 0; share < hosts_.Shares(); ++share) {
+    add(share, kFirstCollector);
+  }
+  add(hosts_.NearShare(), kSecondCollector);
+  return { addresses.begin(), addresses.end() };
+}
+
+QuarantineVerdict
+FleetQuarantine::Check(const std::string& aFingerprint, TimePoint aNow)
+{
+  return quarantine_.Check(aFingerprint, aNow);
+}
+
+void
+FleetQuarantine::Started(const std::string& aFingerprint)
+{
+  quarantine_.Started(aFingerprint);
+}
+
+void
+FleetQuarantine::Ended(const std::string& aFingerprint)
+{
+  quarantine_.Ended(aFingerprint);
+}
+
+void
+FleetQuarantine::Completed(const std::string& aFingerprint, TimePoint aNow)
+{
+  const bool suspected =
+    own_.count(aFingerprint) > 0 ||
+    !quarantine_.NoticeOf(aFingerprint, aNow).deaths_.empty();
+  quarantine_.Completed(aFingerprint, aNow);
+  if (suspected) {
+    SendCleared(aFingerprint, Duration::zero(), aNow);
+  }
+}
+
+void
+FleetQuarantine::SendCleared(const std::string& aFingerprint,
+                             Duration aAge,
+                             TimePoint aNow)
+{
+  const SuspectCleared cleared{ aFingerprint, aAge };
+  bool self = false;
+  for (const std::string& address : Collectors(aFingerprint, self)) {
+    hooks_.send_(address, cleared);
+  }
+  Clear(cleared, aNow);
+}
+
+void
+FleetQuarantine::Clear(const SuspectCleared& aCleared, TimePoint aNow)
+{
+  const TimePoint completedAt = aNow - aCleared.age_;
+  quarantine_.CompletedElsewhere(aCleared.fingerprint_, completedAt);
+  const auto own = own_.find(aCleared.fingerprint_);
+  if (own != own_.end()) {
+    auto& deaths = own->second.deaths_;
+    for (auto it = deaths.begin(); it != deaths.end();) {
+      it = quarantine_.IsClearedBy(completedAt, it->second) ? deaths.erase(it)
+                                                            : std::next(it);
+    }
+    if (deaths.empty()) {
+      own_.erase(own);
+    }
+  }
+  noted_.erase(aCleared.fingerprint_);
+  if (told_.erase(aCleared.fingerprint_) > 0) {
+    SendToRegion(aCleared);
+  }
+}
+
+void
+FleetQuarantine::Died(const std::string& aFingerprint,
+                      const std::string& aServer,
+                      TimePoint aNow)
+{
+  quarantine_.Died(aFingerprint, aServer, aNow);
+}
+
+std::vector<QuarantineNotice>
+FleetQuarantine::ServerChecked(const std::string& aServer,
+                               bool aAlive,
+                               TimePoint aBegun,
+                               TimePoint aNow)
+{
+  const auto notices = quarantine_.ServerChecked(aServer, aAlive, aBegun, aNow);
+  for (const QuarantineNotice& notice : notices) {
+    OwnReport& own = own_[notice.fingerprint_];
+    for (const QuarantineDeath& death : notice.deaths_) {
+      if (death.server_ == aServer) {
+        own.deaths_[aServer] = aNow - death.age_;
+      }
+    }
+    own.pause_ = options_.firstRepeat_;
+    own.next_ = aNow + own.pause_;
+    const std::uint64_t report = Report(notice.fingerprint_, aNow);
+    for (Waiting& waiting : waiting_) {
+      if (waiting.fingerprint_ == notice.fingerprint_ &&
+          waiting.server_ == aServer) {
+        waiting.report_ = report;
+      }
+    }
+  }
+  // Without a report there is nothing to wait for.
+  Resume([&](const Waiting& aWaiting) {
+    return aWaiting.server_ == aServer && aWaiting.report_ == 0;
+  });
+  return notices;
+}
+
+// Returns the number of the report, or zero when no other host is asked.
+std::uint64_t
+FleetQuarantine::Report(const std::string& aFingerprint, TimePoint aNow)
+{
+  SuspectReport report;
+  report.id_ = nextReport_++;
+  report.notice_.fingerprint_ = aFingerprint;
+  for (const auto& [server, time] : own_[aFingerprint].deaths_) {
+    report.notice_.deaths_.push_back({ server, aNow - time });
+  }
+  report.otherDeaths_ =
+    quarantine_.RecentDeaths(options_.mostOtherDeaths_, aNow);
+  bool self = false;
+  const auto collectors = Collectors(aFingerprint, self);
+  for (const std::string& address : collectors) {
+    hooks_.send_(address, report);
+  }
+  if (self) {
+    TellRegion(aFingerprint, aNow);
+  }
+  return self || collectors.empty() ? 0 : report.id_;
+}
+
+void
+FleetQuarantine::AwaitVerdict(const std::string& aFingerprint,
+                              const std::string& aServer,
+                              TimePoint aNow,
+                              Done aDone)
+{
+  waiting_.push_back({ aFingerprint,
+                       aServer,
+                       0,
+                       aNow + options_.verdictWait_,
+                       std::move(aDone) });
+}
+
+void
+FleetQuarantine::Resume(const std::function<bool(const Waiting&)>& aWhich)
+{
+  const auto kept = std::stable_partition(
+    waiting_.begin(), waiting_.end(), [&](const Waiting& aWaiting) {
+      return !aWhich(aWaiting);
+    });
+  std::vector<Waiting> resumed(std::make_move_iterator(kept),
+                               std::make_move_iterator(waiting_.end()));
+  waiting_.erase(kept, waiting_.end());
+  for (const Waiting& waiting : resumed) {
+    waiting.done_();
+  }
+}
+
+void
+FleetQuarantine::Receive(const QuarantineMessage& aMessage,
+                         const std::string& aFrom,
+                         TimePoint aNow)
+{
+  if (const auto* report = std::get_if<SuspectReport>(&aMessage)) {
+    OnReport(*report, aFrom, aNow);
+  } else if (const auto* notice = std::get_if<SuspectNotice>(&aMessage)) {
+    Apply(notice->notice_, aNow);
+    NoteRefusals(aNow);
+    Resume([&](const Waiting& aWaiting) {
+      return notice->id_ != 0 && aWaiting.report_ == notice->id_;
+    });
+  } else {
+    Clear(std::get<SuspectCleared>(aMessage), aNow);
+  }
+}
+
+void
+FleetQuarantine::OnReport(const SuspectReport& aReport,
+                          const std::string& aFrom,
+                          TimePoint aNow)
+{
+  Apply(aReport.notice_, aNow);
+  for (const QuarantineDeath& death : aReport.otherDeaths_) {
+    quarantine_.NoteServerDeath(death.server_, aNow - death.age_);
+  }
+  const std::string& fingerprint = aReport.notice_.fingerprint_;
+  TellRegion(fingerprint, aNow);
+  hooks_.send_(
+    aFrom,
+    SuspectNotice{ aReport.id_, quarantine_.NoticeOf(fingerprint, aNow) });
+}
+
+void
+FleetQuarantine::Apply(const QuarantineNotice& aNotice, TimePoint aNow)
+{
+  const auto completed = quarantine_.LastCompletion(aNotice.fingerprint_);
+  const bool objects =
+    completed && std::any_of(aNotice.deaths_.begin(),
+                             aNotice.deaths_.end(),
+                             [&](const QuarantineDeath& aDeath) {
+                               return quarantine_.IsClearedBy(
+                                 *completed, aNow - aDeath.age_);
+                             });
+  quarantine_.Apply(aNotice, aNow);
+  if (objects && IsSerious(aNotice)) {
+    SendCleared(aNotice.fingerprint_, aNow - *completed, aNow);
+  }
+}
+
+// Tells the hosts of this region what has become known since they were told
+// last, once it is serious.
+void
+FleetQuarantine::TellRegion(const std::string& aFingerprint, TimePoint aNow)
+{
+  const QuarantineNotice notice = quarantine_.NoticeOf(aFingerprint, aNow);
+  if (!IsSerious(notice)) {
+    return;
+  }
+  Told& told = told_[aFingerprint];
+  const bool news = notice.deaths_.size() > told.deaths_ ||
+                    notice.quarantined_ != told.refused_;
+  told = { notice.deaths_.size(), notice.quarantined_ };
+  if (news) {
+    SendToRegion(SuspectNotice{ 0, notice });
+  }
+}
+
+void
+FleetQuarantine::SendToRegion(const QuarantineMessage& aMessage)
+{
+  for (const AllowanceOwner& host : hosts_.HostsOf(hosts_.NearShare())) {
+    if (!host.self_) {
+      hooks_.send_(host.address_, aMessage);
+    }
+  }
+}
+
+void
+FleetQuarantine::ApplyPublished(const RefusedRequest& aRefused, TimePoint aNow)
+{
+  const QuarantineNotice notice{ aRefused.fingerprint_,
+                                 {},
+                                 true,
+                                 std::max(Duration(), aNow - aRefused.since_) };
+  quarantine_.Apply(notice, aNow);
+  NoteRefusals(aNow);
+}
+
+std::vector<RefusedRequest>
+FleetQuarantine::Published(TimePoint aNow) const
+{
+  std::vector<RefusedRequest> published;
+  for (const QuarantineNotice& notice : quarantine_.Refused(aNow)) {
+    const std::size_t near = hosts_.NearShare();
+    const AllowanceOwner* first =
+      hosts_.FirstHost(near, notice.fingerprint_, kFirstCollector + near);
+    if (first != nullptr && first->self_) {
+      published.push_back({ notice.fingerprint_, aNow - notice.age_ });
+    }
+  }
+  if (published.size() > options_.mostPublished_) {
+    std::sort(published.begin(),
+              published.end(),
+              [](const RefusedRequest& aOne, const RefusedRequest& aOther) {
+                return aOne.since_ > aOther.since_;
+              });
+    published.resize(options_.mostPublished_);
+  }
+  return published;
+}
+
+std::optional<TimePoint>
+FleetQuarantine::NextTimeout(TimePoint aNow) const
+{
+  std::optional<TimePoint> next = quarantine_.NextDecision(aNow);
+  const auto consider = [&next](TimePoint aTime) {
+    next = next ? std::min(*next, aTime) : aTime;
+  };
+  for (const Waiting& waiting : waiting_) {
+    consider(waiting.until_);
+  }
+  for (const auto& [fingerprint, own] : own_) {
+    consider(own.next_);
+  }
+  return next;
+}
+
+void
+FleetQuarantine::OnTimer(TimePoint aNow)
+{
+  Resume([&](const Waiting& aWaiting) { return aNow >= aWaiting.until_; });
+  RepeatReports(aNow);
+  NoteRefusals(aNow);
+}
+
+void
+FleetQuarantine::RepeatReports(TimePoint aNow)
+{
+  std::vector<std::string> due;
+  for (auto it = own_.begin(); it != own_.end();) {
+    OwnReport& own = it->second;
+    if (aNow < own.next_) {
+      ++it;
+      continue;
+    }
+    due.push_back(it->first);
+    own.pause_ *= 2;
+    own.next_ = aNow + own.pause_;
+    ++it;
+  }
+  for (const std::string& fingerprint : due) {
+    Report(fingerprint, aNow);
+    if (own_[fingerprint].pause_ > options_.lastRepeat_) {
+      own_.erase(fingerprint);
+    }
+  }
+}
+
+// Decides what is due, and tells the region's hosts, which may need more
+// deaths when they saw others.
+void
+FleetQuarantine::NoteRefusals(TimePoint aNow)
+{
+  std::set<std::string> refused;
+  for (const QuarantineNotice& notice : quarantine_.DecideAll(aNow)) {
+    refused.insert(notice.fingerprint_);
+    if (noted_.count(notice.fingerprint_) == 0 && hooks_.onRefused_) {
+      hooks_.onRefused_(notice);
+    }
+    if (told_.count(notice.fingerprint_) > 0) {
+      TellRegion(notice.fingerprint_, aNow);
+    }
+  }
+  noted_ = std::move(refused);
+}
+
+}
--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -20,12 +20,16 @@
 std::string
 EncodeHostRecord(const HostRecord& aHost)
 {
+  json refused = json::array();
+  for (const RefusalRecord& entry : aHost.refused_) {
+    refused.push_back(json::array({ entry.fingerprint_, entry.sinceMs_ }));
+  }
   const json record{ { "callers", aHost.callers_ },
                      { "peers", aHost.peers_ },
                      { "failure_domain", aHost.failureDomain_ },
                      { "region", aHost.region_ },
                      { "draining", aHost.draining_ },
-                     { "quarantined", aHost.quarantined_ } };
+                     { "refused", refused } };
   return record.dump();
 }
 
@@ -41,8 +45,10 @@
     host.failureDomain_ = record.at("failure_domain").get<std::string>();
     host.region_ = record.at("region").get<std::string>();
     host.draining_ = record.at("draining").get<bool>();
-    host.quarantined_ =
-      record.at("quarantined").get<std::vector<std::string>>();
+    for (const json& entry : record.at("refused")) {
+      host.refused_.push_back(
+        { entry.at(0).get<std::string>(), entry.at(1).get<std::int64_t>() });
+    }
     return host;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/gateway/FleetTypes.h
+++ b/src/gateway/FleetTypes.h
@@ -32,6 +32,19 @@
   std::int64_t born_ = 0;
 };
 
+// A request that a host refuses because it crashes backend servers.
+struct RefusalRecord
+{
+  std::string fingerprint_;
+  // Unix time of the decision in milliseconds.
+  std::int64_t sinceMs_ = 0;
+
+  bool operator==(const RefusalRecord& aOther) const
+  {
+    return fingerprint_ == aOther.fingerprint_ && sinceMs_ == aOther.sinceMs_;
+  }
+};
+
 // An entry host's registration, under its lease.
 struct HostRecord
 {
@@ -44,9 +57,7 @@
   std::string failureDomain_;
   std::string region_;
   bool draining_ = false;
-  // Fingerprints of requests that this host refuses because they crash backend
-  // servers.
-  std::vector<std::string> quarantined_;
+  std::vector<RefusalRecord> refused_;
 };
 
 // All that the control loop knows, as an immutable snapshot.
--- a/src/gateway/FlowContext.cc
+++ b/src/gateway/FlowContext.cc
@@ -30,8 +30,12 @@
   , connections_(aContext, {})
   , owners_(options_.regions_, options_.region_, options_.name_)
   , allowances_(aAllowances, owners_)
+  , datagrams_(
+      aContext,
+      [this](const std::string& aAddress) { return owners_.Knows(aAddress); })
   , allowanceChannel_(
       aContext,
+      datagrams_,
       owners_,
       allowances_,
       [this] { return table_ ? table_->Version() : 0; },
@@ -39,6 +43,17 @@
   , ways_(options_.region_)
   , coldStarts_(aColdStart)
   , retries_(aRetries)
+  , quarantine_(aContext,
+                datagrams_,
+                owners_,
+                connections_,
+                aMetrics,
+                [this](Instance& aInstance) {
+                  instances_.Learn(aInstance,
+                                   InstanceSignal::Unreachable,
+                                   BootClock::now(),
+                                   options_.health_);
+                })
   , metrics_(aMetrics)
   , random_(std::random_device()())
 {
--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -3,13 +3,14 @@
 // What the requests of a host share: settings, decision objects, connections to
 // backend servers, counters. Traffic thread only; included by .cc files.
 
-#include "backend/Quarantine.h"
 #include "base/Metrics.h"
 #include "gateway/AllowanceChannel.h"
 #include "gateway/ColdStartLimit.h"
 #include "gateway/CustomerAllowances.h"
 #include "gateway/FleetRetryBudget.h"
 #include "gateway/InstanceChooser.h"
+#include "gateway/PeerDatagrams.h"
+#include "gateway/QuarantineChannel.h"
 #include "gateway/RegionWays.h"
 #include "gateway/RemoteBudget.h"
 #include "gateway/ServerExchange.h"
@@ -41,6 +42,9 @@
   Duration retryAfter_ = std::chrono::milliseconds(300);
   // The longest wait for the first view after the start.
   Duration startWait_ = std::chrono::milliseconds(600);
+  // A request that may crash servers waits for a decision for so long.
+  Duration longestHold_ = std::chrono::milliseconds(1000);
+  Duration holdCheck_ = std::chrono::milliseconds(50);
   // An attempt with less time left is not made.
   Duration leastTimeLeft_ = std::chrono::milliseconds(30);
   ChooserOptions chooser_;
@@ -81,12 +85,13 @@
   ServerConnections connections_;
   AllowanceOwners owners_;
   CustomerAllowances allowances_;
+  PeerDatagrams datagrams_;
   AllowanceChannel allowanceChannel_;
   RegionWays ways_;
   RemoteBudget remoteBudget_;
   ColdStartLimit coldStarts_;
   FleetRetryBudget retries_;
-  Quarantine quarantine_;
+  QuarantineChannel quarantine_;
   FlowMetrics metrics_;
   RoutingTablePtr table_;
   // Requests that came before the first view, soon after the start.
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -5,6 +5,7 @@
 #include "base/Metrics.h"
 #include "gateway/CallerListener.h"
 #include "gateway/HostOrder.h"
+#include "gateway/RefusalRecords.h"
 #include "gateway/RequestFlow.h"
 #include "gateway/ViewFeed.h"
 #include "http/HttpServer.h"
@@ -260,7 +261,7 @@
     return false;
   }
   if (settings_.peers_ &&
-      (!flow_.allowanceChannel_.Listen(*settings_.peers_, aError) ||
+      (!flow_.datagrams_.Listen(*settings_.peers_, aError) ||
        !feed_.Listen(*settings_.peers_, aError))) {
     return false;
   }
@@ -308,10 +309,9 @@
   instances_.Apply(*aSnapshot);
   const TimePoint now = BootClock::now();
   for (const auto& [name, host] : aSnapshot->hosts_) {
-    for (const std::string& fingerprint : host.quarantined_) {
-      if (name != settings_.name_) {
-        flow_.quarantine_.Apply({ fingerprint, {}, true, {} }, now);
-      }
+    if (name != settings_.name_) {
+      flow_.quarantine_.ApplyPublished(
+        ReadRefusalRecords(host.refused_, now, UnixMilliseconds()));
     }
   }
   flow_.coldStarts_.SetHosts(
@@ -330,7 +330,8 @@
     }
     const TimePoint now = BootClock::now();
     flow_.connections_.CloseExpired(now);
-    self_.quarantined_ = flow_.quarantine_.Refused(now);
+    self_.refused_ = MakeRefusalRecords(
+      flow_.quarantine_.Published(), self_.refused_, now, UnixMilliseconds());
     droppedLines_.Set(static_cast<double>(DroppedLogLines()));
     PublishSelf();
     OnTick();
@@ -342,7 +343,7 @@
 {
   self_.draining_ = draining_.load();
   const bool changed = self_.draining_ != published_.draining_ ||
-                       self_.quarantined_ != published_.quarantined_;
+                       !(self_.refused_ == published_.refused_);
   if (!changed) {
     return;
   }
--- /dev/null
+++ b/src/gateway/RefusalRecords.h
@@ -0,0 +1,34 @@
+#pragma once
+
+// Refused requests as hosts publish them with their registrations. There the
+// time of a refusal is Unix time: a record may be read long after it was
+// written, and an age would begin anew with each reader, so that a refusal
+// would never end. The clocks of hosts may differ by seconds, refusals last for
+// minutes.
+
+#include "gateway/FleetQuarantine.h"
+#include "gateway/FleetTypes.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace peridotsail {
+
+// aPublished are the records so far; their times are kept, so that a step of
+// the time of day changes no record.
+std::vector<RefusalRecord>
+MakeRefusalRecords(const std::vector<RefusedRequest>& aRefused,
+                   const std::vector<RefusalRecord>& aPublished,
+                   TimePoint aNow,
+                   std::int64_t aUnixMs);
+
+std::vector<RefusedRequest>
+ReadRefusalRecords(const std::vector<RefusalRecord>& aRecords,
+                   TimePoint aNow,
+                   std::int64_t aUnixMs);
+
+// The time of day.
+std::int64_t
+UnixMilliseconds();
+
+}
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -19,6 +19,8 @@
 constexpr Duration kDefaultTarget = std::chrono::milliseconds(500);
 // Body bytes that distinguish requests with the same target.
 constexpr std::size_t kFingerprintBody = 256;
+// A request that crashes servers is not wanted again soon.
+constexpr Duration kQuarantineRetryAfter = std::chrono::seconds(60);
 // A caller honours Retry-After up to a third of the time that it has left.
 constexpr double kRetryAfterPart = 0.3;
 
@@ -29,6 +31,7 @@
   : flow_(aContext)
   , caller_(std::move(aCaller))
   , timer_(aContext.context_)
+  , holdTimer_(aContext.context_)
 {
   ++flow_.inFlight_;
 }
@@ -94,15 +97,16 @@
     return;
   }
   begun_ = true;
-  if (!FindRoute() || !CheckKey() || !CheckQuarantine()) {
+  if (!FindRoute() || !CheckKey()) {
     return;
   }
+  MakeRequestFingerprint();
   SetDeadline();
   if (!flow_.options_.mayFinish_(deadline_)) {
     Refuse(503, "host-ends", flow_.options_.retryAfter_);
     return;
   }
-  AskAllowance();
+  PassQuarantine([self = shared_from_this()] { self->AskAllowance(); });
 }
 
 bool
@@ -153,8 +157,8 @@
   return true;
 }
 
-bool
-RequestFlow::CheckQuarantine()
+void
+RequestFlow::MakeRequestFingerprint()
 {
   const CallerRequest& request = caller_->Request();
   fingerprint_ = MakeFingerprint(customer_ == nullptr ? "" : customer_->name_,
@@ -162,16 +166,40 @@
                                  request.target_,
                                  request.body_.size(),
                                  request.body_.substr(0, kFingerprintBody));
-  const auto verdict = flow_.quarantine_.Check(fingerprint_, BootClock::now());
+}
+
+void
+RequestFlow::PassQuarantine(std::function<void()> aNext)
+{
+  if (finished_) {
+    return;
+  }
+  const QuarantineVerdict verdict = flow_.quarantine_.Check(fingerprint_);
   if (verdict == QuarantineVerdict::Refuse) {
-    Refuse(503, "quarantined", std::chrono::seconds(60));
-    return false;
+    if (mayHaveRun_) {
+      Refuse(502, "quarantined", Duration::zero());
+    } else {
+      Refuse(503, "quarantined", kQuarantineRetryAfter);
+    }
+    return;
   }
-  if (verdict == QuarantineVerdict::Wait) {
+  const TimePoint now = BootClock::now();
+  if (heldUntil_ == TimePoint::min() && verdict == QuarantineVerdict::Wait) {
+    heldUntil_ = now + flow_.options_.longestHold_;
     LogEvent(Event::SuspectHeld,
              { { "request", requestId_ }, { "fingerprint", fingerprint_ } });
   }
-  return true;
+  if (verdict == QuarantineVerdict::Run || now >= heldUntil_) {
+    aNext();
+    return;
+  }
+  holdTimer_.expires_after(ToSteady(flow_.options_.holdCheck_));
+  holdTimer_.async_wait(
+    [self = shared_from_this(), next = std::move(aNext)](ErrorCode aError) {
+      if (!aError) {
+        self->PassQuarantine(next);
+      }
+    });
 }
 
 void
@@ -355,6 +383,7 @@
     return;
   }
   ++attempts_;
+  attemptedAt_ = BootClock::now();
   tried_.insert(instance->Record().id_);
   flow_.metrics_.attempts_.Add(1);
   LogEvent(Event::RouteDecision,
@@ -398,7 +427,6 @@
                    const ServerExchangeResult& aResult)
 {
   const TimePoint now = BootClock::now();
-  const std::string& id = aInstance->Record().id_;
   InstanceSignal signal = InstanceSignal::Success;
   if (aResult.unreachable_) {
     signal = InstanceSignal::Unreachable;
@@ -412,26 +440,19 @@
   }
   flow_.instances_.Learn(*aInstance, signal, now, flow_.options_.health_);
   if (aResult.outcome_ == ExchangeOutcome::Answered) {
-    flow_.quarantine_.Completed(fingerprint_, now);
+    flow_.quarantine_.Completed(fingerprint_);
   } else if (signal == InstanceSignal::ConnectionLost) {
     LogEvent(Event::ServerLostInRequest,
              { { "request", requestId_ },
                { "fingerprint", fingerprint_ },
-               { "server", id } });
-    flow_.quarantine_.Died(fingerprint_, id, now);
+               { "server", aInstance->Record().id_ } });
     flow_.connections_.CloseIdle(aInstance);
+    flow_.quarantine_.ConnectionLost(fingerprint_, aInstance);
   }
   if (signal == InstanceSignal::Unreachable ||
       signal == InstanceSignal::Success) {
-    const auto notices = flow_.quarantine_.ServerChecked(
-      id, signal == InstanceSignal::Success, now, now);
-    for (const QuarantineNotice& notice : notices) {
-      LogEvent(Event::ServerDeathConfirmed,
-               { { "fingerprint", notice.fingerprint_ },
-                 { "server", id },
-                 { "deaths", notice.servers_.size() },
-                 { "quarantined", notice.quarantined_ ? 1 : 0 } });
-    }
+    flow_.quarantine_.ServerSeen(
+      *aInstance, signal == InstanceSignal::Success, attemptedAt_);
   }
   flow_.quarantine_.Ended(fingerprint_);
 }
@@ -452,36 +473,61 @@
                { "reason", aResult.reason_ },
                { "attempt", attempts_ } });
   }
-  if (MayTryAgain(aResult)) {
-    flow_.metrics_.retries_.Add(1);
-    Attempt();
+  if (!MayTryAgain(aResult)) {
+    Conclude(std::move(aResult));
     return;
   }
-  if (aResult.outcome_ == ExchangeOutcome::Answered) {
-    Deliver(std::move(aResult.answer_));
-  } else {
-    FailAfter(aResult);
+  if (aResult.outcome_ != ExchangeOutcome::ConnectionLost) {
+    TryAgain(aResult);
+    return;
   }
+  // The request may have crashed the server, and others elsewhere.
+  flow_.quarantine_.AwaitVerdict(
+    fingerprint_,
+    aInstance,
+    [self = shared_from_this(), result = std::move(aResult)] {
+      self->TryAgain(result);
+    });
 }
 
 bool
-RequestFlow::MayTryAgain(const ServerExchangeResult& aResult)
+RequestFlow::MayTryAgain(const ServerExchangeResult& aResult) const
 {
   const bool failed = aResult.outcome_ != ExchangeOutcome::Answered ||
                       aResult.answer_.status_ / 100 == 5;
   const bool repeatable =
     aResult.outcome_ == ExchangeOutcome::NotRun || IsIdempotent(route_->kind_);
-  if (!failed || !repeatable || attempts_ >= route_->maxAttempts_ ||
-      TimeLeft() < flow_.options_.leastTimeLeft_) {
-    return false;
-  }
-  if (flow_.quarantine_.Check(fingerprint_, BootClock::now()) ==
-      QuarantineVerdict::Refuse) {
-    return false;
+  return failed && repeatable && attempts_ < route_->maxAttempts_ &&
+         TimeLeft() >= flow_.options_.leastTimeLeft_;
+}
+
+void
+RequestFlow::TryAgain(const ServerExchangeResult& aResult)
+{
+  PassQuarantine([self = shared_from_this(), result = aResult] {
+    FlowContext& flow = self->flow_;
+    // An attempt that never reached a server is no repeat there.
+    const bool allowed =
+      self->MayTryAgain(result) &&
+      (result.unreachable_ ||
+       flow.retries_.TryTake(self->service_, BootClock::now()));
+    if (!allowed) {
+      self->Conclude(result);
+      return;
+    }
+    flow.metrics_.retries_.Add(1);
+    self->Attempt();
+  });
+}
+
+void
+RequestFlow::Conclude(ServerExchangeResult aResult)
+{
+  if (aResult.outcome_ == ExchangeOutcome::Answered) {
+    Deliver(std::move(aResult.answer_));
+  } else {
+    FailAfter(aResult);
   }
-  // An attempt that never reached a server is no repeat there.
-  return aResult.unreachable_ ||
-         flow_.retries_.TryTake(service_, BootClock::now());
 }
 
 void
@@ -541,6 +587,7 @@
 {
   finished_ = true;
   timer_.cancel();
+  holdTimer_.cancel();
   if (exchange_) {
     exchange_->Cancel();
     flow_.quarantine_.Ended(fingerprint_);
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -11,6 +11,7 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/FlowContext.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -32,7 +33,10 @@
   void Begin();
   bool FindRoute();
   bool CheckKey();
-  bool CheckQuarantine();
+  void MakeRequestFingerprint();
+  // Goes on with aNext once the request is not suspected of crashing servers,
+  // or has waited long enough for a decision; refuses a quarantined one.
+  void PassQuarantine(std::function<void()> aNext);
   // Asks for a token of the customer's allowance.
   void AskAllowance();
   void OnAdmission(const Admission& aAdmission);
@@ -45,7 +49,10 @@
   bool AdmitCold(const Instance& aInstance);
   void OnExchange(const InstancePtr& aInstance, ServerExchangeResult aResult);
   void Learn(const InstancePtr& aInstance, const ServerExchangeResult& aResult);
-  bool MayTryAgain(const ServerExchangeResult& aResult);
+  bool MayTryAgain(const ServerExchangeResult& aResult) const;
+  void TryAgain(const ServerExchangeResult& aResult);
+  // The last attempt's result is the caller's answer.
+  void Conclude(ServerExchangeResult aResult);
   void Deliver(ServerAnswer aAnswer);
   void FailAfter(const ServerExchangeResult& aResult);
   void OnTimeout();
@@ -72,6 +79,9 @@
   std::shared_ptr<const std::string> body_;
   std::shared_ptr<ServerExchange> exchange_;
   asio::steady_timer timer_;
+  asio::steady_timer holdTimer_;
+  TimePoint heldUntil_ = TimePoint::min();
+  TimePoint attemptedAt_;
   TimePoint deadline_;
   int attempts_ = 0;
   // Some backend server may have run the request.
