Publish suspicions that no other host has heard of

A host whose reports nobody answers now publishes them with its registration, with Unix times. Tests for the bounds of what is published, for the common end of refusals, restarts, steps of the time of day and malformed messages.

--- a/src/gateway/FleetQuarantine.cc
+++ b/src/gateway/FleetQuarantine.cc
@@ -171,12 +171,10 @@
 std::uint64_t
 FleetQuarantine::Report(const std::string& aFingerprint, TimePoint aNow)
 {
+  OwnReport& own = own_[aFingerprint];
   SuspectReport report;
   report.id_ = nextReport_++;
-  report.notice_.fingerprint_ = aFingerprint;
-  for (const auto& [server, time] : own_[aFingerprint].deaths_) {
-    report.notice_.deaths_.push_back({ server, aNow - time });
-  }
+  report.notice_ = OwnNotice(aFingerprint, own, aNow);
   report.otherDeaths_ =
     quarantine_.RecentDeaths(options_.mostOtherDeaths_, aNow);
   bool self = false;
@@ -184,12 +182,29 @@
   for (const std::string& address : collectors) {
     hooks_.send_(address, report);
   }
+  if (!collectors.empty()) {
+    own.ignored_ += own.unanswered_ != 0 ? 1 : 0;
+    own.unanswered_ = report.id_;
+  }
   if (self) {
     TellRegion(aFingerprint, aNow);
   }
   return self || collectors.empty() ? 0 : report.id_;
 }
 
+QuarantineNotice
+FleetQuarantine::OwnNotice(const std::string& aFingerprint,
+                           const OwnReport& aOwn,
+                           TimePoint aNow)
+{
+  QuarantineNotice notice;
+  notice.fingerprint_ = aFingerprint;
+  for (const auto& [server, time] : aOwn.deaths_) {
+    notice.deaths_.push_back({ server, aNow - time });
+  }
+  return notice;
+}
+
 void
 FleetQuarantine::AwaitVerdict(const std::string& aFingerprint,
                               const std::string& aServer,
@@ -226,6 +241,11 @@
   if (const auto* report = std::get_if<SuspectReport>(&aMessage)) {
     OnReport(*report, aFrom, aNow);
   } else if (const auto* notice = std::get_if<SuspectNotice>(&aMessage)) {
+    const auto own = own_.find(notice->notice_.fingerprint_);
+    if (notice->id_ != 0 && own != own_.end()) {
+      own->second.unanswered_ = 0;
+      own->second.ignored_ = 0;
+    }
     Apply(notice->notice_, aNow);
     NoteRefusals(aNow);
     Resume([&](const Waiting& aWaiting) {
@@ -331,6 +351,25 @@
   return published;
 }
 
+std::vector<QuarantineNotice>
+FleetQuarantine::Unheard(TimePoint aNow) const
+{
+  std::vector<QuarantineNotice> unheard;
+  for (const auto& [fingerprint, own] : own_) {
+    if (own.ignored_ > 0 && unheard.size() < options_.mostPublished_) {
+      unheard.push_back(OwnNotice(fingerprint, own, aNow));
+    }
+  }
+  return unheard;
+}
+
+void
+FleetQuarantine::ApplySuspicion(const QuarantineNotice& aNotice, TimePoint aNow)
+{
+  Apply(aNotice, aNow);
+  NoteRefusals(aNow);
+}
+
 std::optional<TimePoint>
 FleetQuarantine::NextTimeout(TimePoint aNow) const
 {
--- a/src/gateway/FleetQuarantine.h
+++ b/src/gateway/FleetQuarantine.h
@@ -11,7 +11,8 @@
 // region; a host that saw the request complete since the first death objects,
 // which clears it everywhere. Meanwhile runs of the request wait. All hosts
 // then decide alike. The first collector of each region also publishes what is
-// refused with its registration, for hosts that start later or heard nothing.
+// refused with its registration, for hosts that start later or heard nothing. A
+// host whose reports nobody answers publishes them with its own registration.
 //
 // Pure; used on the traffic thread. Messages may be lost, doubled or late:
 // reports are repeated, and evidence carries its age.
@@ -51,7 +52,8 @@
   Duration lastRepeat_ = std::chrono::seconds(32);
   // Other deaths in a report.
   std::size_t mostOtherDeaths_ = 8;
-  // The newest refused requests that a host publishes; bounds its registration.
+  // The newest requests that a host publishes as refused, and as suspected;
+  // bounds its registration.
   std::size_t mostPublished_ = 64;
 };
 
@@ -109,6 +111,10 @@
   void ApplyPublished(const RefusedRequest& aRefused, TimePoint aNow);
   // The refused requests that this host publishes.
   std::vector<RefusedRequest> Published(TimePoint aNow) const;
+  // What this host saw and reported, and no collector has heard of.
+  std::vector<QuarantineNotice> Unheard(TimePoint aNow) const;
+  // Another host has published deaths that it saw.
+  void ApplySuspicion(const QuarantineNotice& aNotice, TimePoint aNow);
   // When OnTimer has something to do.
   std::optional<TimePoint> NextTimeout(TimePoint aNow) const;
   void OnTimer(TimePoint aNow);
@@ -120,6 +126,10 @@
     std::map<std::string, TimePoint> deaths_;
     TimePoint next_;
     Duration pause_{};
+    // Its last report that no collector has answered; zero: one has.
+    std::uint64_t unanswered_ = 0;
+    // Reports before that one that nobody answered.
+    int ignored_ = 0;
   };
   struct Waiting
   {
@@ -140,6 +150,9 @@
   std::vector<std::string> Collectors(const std::string& aFingerprint,
                                       bool& aSelf) const;
   std::uint64_t Report(const std::string& aFingerprint, TimePoint aNow);
+  static QuarantineNotice OwnNotice(const std::string& aFingerprint,
+                                    const OwnReport& aOwn,
+                                    TimePoint aNow);
   void TellRegion(const std::string& aFingerprint, TimePoint aNow);
   void SendToRegion(const QuarantineMessage& aMessage);
   void SendCleared(const std::string& aFingerprint,
--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -24,12 +24,17 @@
   for (const RefusalRecord& entry : aHost.refused_) {
     refused.push_back(json::array({ entry.fingerprint_, entry.sinceMs_ }));
   }
+  json suspected = json::array();
+  for (const SuspicionRecord& entry : aHost.suspected_) {
+    suspected.push_back(json::array({ entry.fingerprint_, entry.deaths_ }));
+  }
   const json record{ { "callers", aHost.callers_ },
                      { "peers", aHost.peers_ },
                      { "failure_domain", aHost.failureDomain_ },
                      { "region", aHost.region_ },
                      { "draining", aHost.draining_ },
-                     { "refused", refused } };
+                     { "refused", refused },
+                     { "suspected", suspected } };
   return record.dump();
 }
 
@@ -49,6 +54,11 @@
       host.refused_.push_back(
         { entry.at(0).get<std::string>(), entry.at(1).get<std::int64_t>() });
     }
+    for (const json& entry : record.at("suspected")) {
+      host.suspected_.push_back(
+        { entry.at(0).get<std::string>(),
+          entry.at(1).get<std::map<std::string, std::int64_t>>() });
+    }
     return host;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/gateway/FleetTypes.h
+++ b/src/gateway/FleetTypes.h
@@ -45,6 +45,20 @@
   }
 };
 
+// A request under which servers died, as a host publishes it that cannot tell
+// other hosts directly.
+struct SuspicionRecord
+{
+  std::string fingerprint_;
+  // By server: the Unix time of its death in milliseconds.
+  std::map<std::string, std::int64_t> deaths_;
+
+  bool operator==(const SuspicionRecord& aOther) const
+  {
+    return fingerprint_ == aOther.fingerprint_ && deaths_ == aOther.deaths_;
+  }
+};
+
 // An entry host's registration, under its lease.
 struct HostRecord
 {
@@ -58,6 +72,7 @@
   std::string region_;
   bool draining_ = false;
   std::vector<RefusalRecord> refused_;
+  std::vector<SuspicionRecord> suspected_;
 };
 
 // All that the control loop knows, as an immutable snapshot.
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -5,7 +5,7 @@
 #include "base/Metrics.h"
 #include "gateway/CallerListener.h"
 #include "gateway/HostOrder.h"
-#include "gateway/RefusalRecords.h"
+#include "gateway/QuarantineRecords.h"
 #include "gateway/RequestFlow.h"
 #include "gateway/ViewFeed.h"
 #include "http/HttpServer.h"
@@ -310,8 +310,7 @@
   const TimePoint now = BootClock::now();
   for (const auto& [name, host] : aSnapshot->hosts_) {
     if (name != settings_.name_) {
-      flow_.quarantine_.ApplyPublished(
-        ReadRefusalRecords(host.refused_, now, UnixMilliseconds()));
+      flow_.quarantine_.ApplyPublished(host, UnixMilliseconds());
     }
   }
   flow_.coldStarts_.SetHosts(
@@ -330,8 +329,7 @@
     }
     const TimePoint now = BootClock::now();
     flow_.connections_.CloseExpired(now);
-    self_.refused_ = MakeRefusalRecords(
-      flow_.quarantine_.Published(), self_.refused_, now, UnixMilliseconds());
+    flow_.quarantine_.Publish(self_, UnixMilliseconds());
     droppedLines_.Set(static_cast<double>(DroppedLogLines()));
     PublishSelf();
     OnTick();
@@ -343,7 +341,8 @@
 {
   self_.draining_ = draining_.load();
   const bool changed = self_.draining_ != published_.draining_ ||
-                       !(self_.refused_ == published_.refused_);
+                       !(self_.refused_ == published_.refused_) ||
+                       !(self_.suspected_ == published_.suspected_);
   if (!changed) {
     return;
   }
--- a/src/gateway/QuarantineChannel.cc
+++ b/src/gateway/QuarantineChannel.cc
@@ -1,6 +1,7 @@
 #include "gateway/QuarantineChannel.h"
 
 #include "base/EventLog.h"
+#include "gateway/QuarantineRecords.h"
 
 #include <algorithm>
 #include <utility>
@@ -127,18 +128,31 @@
 }
 
 void
-QuarantineChannel::ApplyPublished(const std::vector<RefusedRequest>& aRefused)
+QuarantineChannel::ApplyPublished(const HostRecord& aHost, std::int64_t aUnixMs)
 {
+  if (aHost.refused_.empty() && aHost.suspected_.empty()) {
+    return;
+  }
   const TimePoint now = BootClock::now();
-  for (const RefusedRequest& refused : aRefused) {
+  for (const RefusedRequest& refused :
+       ReadRefusalRecords(aHost.refused_, now, aUnixMs)) {
     quarantine_.ApplyPublished(refused, now);
   }
+  for (const QuarantineNotice& suspicion :
+       ReadSuspicionRecords(aHost.suspected_, aUnixMs)) {
+    quarantine_.ApplySuspicion(suspicion, now);
+  }
+  SetTimer();
 }
 
-std::vector<RefusedRequest>
-QuarantineChannel::Published() const
+void
+QuarantineChannel::Publish(HostRecord& aSelf, std::int64_t aUnixMs) const
 {
-  return quarantine_.Published(BootClock::now());
+  const TimePoint now = BootClock::now();
+  aSelf.refused_ = MakeRefusalRecords(
+    quarantine_.Published(now), aSelf.refused_, now, aUnixMs);
+  aSelf.suspected_ =
+    MakeSuspicionRecords(quarantine_.Unheard(now), aSelf.suspected_, aUnixMs);
 }
 
 void
--- a/src/gateway/QuarantineChannel.h
+++ b/src/gateway/QuarantineChannel.h
@@ -13,6 +13,7 @@
 
 #include "base/Metrics.h"
 #include "gateway/FleetQuarantine.h"
+#include "gateway/FleetTypes.h"
 #include "gateway/PeerDatagrams.h"
 #include "gateway/ServerChecks.h"
 
@@ -49,8 +50,10 @@
   // has ended.
   void ServerSeen(const Instance& aInstance, bool aAlive, TimePoint aBegun);
 
-  void ApplyPublished(const std::vector<RefusedRequest>& aRefused);
-  std::vector<RefusedRequest> Published() const;
+  // What the other host publishes; the time of day is given.
+  void ApplyPublished(const HostRecord& aHost, std::int64_t aUnixMs);
+  // Sets what this host publishes.
+  void Publish(HostRecord& aSelf, std::int64_t aUnixMs) const;
 
 private:
   FleetQuarantineHooks MakeHooks(PeerDatagrams& aDatagrams);
--- /dev/null
+++ b/src/gateway/QuarantineRecords.cc
@@ -0,0 +1,109 @@
+#include "gateway/QuarantineRecords.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace peridotsail {
+
+namespace {
+
+// Clocks differ: what is in the future happened just now.
+Duration
+AgeAt(std::int64_t aThenMs, std::int64_t aNowMs)
+{
+  return std::chrono::milliseconds(std::max<std::int64_t>(0, aNowMs - aThenMs));
+}
+
+void
+KeepTimes(const SuspicionRecord& aPublished, SuspicionRecord& aRecord)
+{
+  for (auto& [server, time] : aRecord.deaths_) {
+    const auto known = aPublished.deaths_.find(server);
+    time = known == aPublished.deaths_.end() ? time : known->second;
+  }
+}
+
+}
+
+std::vector<RefusalRecord>
+MakeRefusalRecords(const std::vector<RefusedRequest>& aRefused,
+                   const std::vector<RefusalRecord>& aPublished,
+                   TimePoint aNow,
+                   std::int64_t aUnixMs)
+{
+  std::vector<RefusalRecord> records;
+  for (const RefusedRequest& refused : aRefused) {
+    const auto known =
+      std::find_if(aPublished.begin(),
+                   aPublished.end(),
+                   [&refused](const RefusalRecord& aRecord) {
+                     return aRecord.fingerprint_ == refused.fingerprint_;
+                   });
+    records.push_back(
+      known != aPublished.end()
+        ? *known
+        : RefusalRecord{ refused.fingerprint_,
+                         aUnixMs - ToMilliseconds(aNow - refused.since_) });
+  }
+  return records;
+}
+
+std::vector<RefusedRequest>
+ReadRefusalRecords(const std::vector<RefusalRecord>& aRecords,
+                   TimePoint aNow,
+                   std::int64_t aUnixMs)
+{
+  std::vector<RefusedRequest> refused;
+  for (const RefusalRecord& record : aRecords) {
+    refused.push_back(
+      { record.fingerprint_, aNow - AgeAt(record.sinceMs_, aUnixMs) });
+  }
+  return refused;
+}
+
+std::vector<SuspicionRecord>
+MakeSuspicionRecords(const std::vector<QuarantineNotice>& aSuspected,
+                     const std::vector<SuspicionRecord>& aPublished,
+                     std::int64_t aUnixMs)
+{
+  std::vector<SuspicionRecord> records;
+  for (const QuarantineNotice& notice : aSuspected) {
+    SuspicionRecord record{ notice.fingerprint_, {} };
+    for (const QuarantineDeath& death : notice.deaths_) {
+      record.deaths_[death.server_] = aUnixMs - ToMilliseconds(death.age_);
+    }
+    for (const SuspicionRecord& published : aPublished) {
+      if (published.fingerprint_ == notice.fingerprint_) {
+        KeepTimes(published, record);
+      }
+    }
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+std::vector<QuarantineNotice>
+ReadSuspicionRecords(const std::vector<SuspicionRecord>& aRecords,
+                     std::int64_t aUnixMs)
+{
+  std::vector<QuarantineNotice> notices;
+  for (const SuspicionRecord& record : aRecords) {
+    QuarantineNotice notice;
+    notice.fingerprint_ = record.fingerprint_;
+    for (const auto& [server, time] : record.deaths_) {
+      notice.deaths_.push_back({ server, AgeAt(time, aUnixMs) });
+    }
+    notices.push_back(std::move(notice));
+  }
+  return notices;
+}
+
+std::int64_t
+UnixMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+}
--- a/src/gateway/RefusalRecords.h
+++ b/src/gateway/QuarantineRecords.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// Refused requests as hosts publish them with their registrations. There the
-// time of a refusal is Unix time: a record may be read long after it was
-// written, and an age would begin anew with each reader, so that a refusal
+// Refused and suspected requests as hosts publish them with their
+// registrations. There times are Unix times: a record may be read long after it
+// was written, and an age would begin anew with each reader, so that a refusal
 // would never end. The clocks of hosts may differ by seconds, refusals last for
 // minutes.
 
@@ -27,6 +27,16 @@
                    TimePoint aNow,
                    std::int64_t aUnixMs);
 
+// The same for requests under which servers died.
+std::vector<SuspicionRecord>
+MakeSuspicionRecords(const std::vector<QuarantineNotice>& aSuspected,
+                     const std::vector<SuspicionRecord>& aPublished,
+                     std::int64_t aUnixMs);
+
+std::vector<QuarantineNotice>
+ReadSuspicionRecords(const std::vector<SuspicionRecord>& aRecords,
+                     std::int64_t aUnixMs);
+
 // The time of day.
 std::int64_t
 UnixMilliseconds();
--- a/src/gateway/testing/FleetQuarantineTest.cc
+++ b/src/gateway/testing/FleetQuarantineTest.cc
@@ -1,4 +1,4 @@
-#include "gateway/RefusalRecords.h"
+#include "gateway/QuarantineRecords.h"
 #include "gateway/testing/QuarantineFleet.h"
 
 #include <catch2/catch.hpp>
@@ -14,6 +14,8 @@
 constexpr int kMostCrashedCalm = 3;
 // The members' rule.
 constexpr int kMostSentLate = 3;
+// In place of the part of the hosts that is cut off.
+constexpr double kAllHosts = 2;
 
 // Runs by hand play more seeds: PERIDOTSAIL_SEEDS=1000.
 std::uint64_t
@@ -120,10 +122,11 @@
     { "hosts cut from the others", 0, 0, 0, 0.4, 0 },
     { "store out", 0, 0, 0, 0, 0.3 },
     { "all of these", 0.05, 0.2, 0.2, 0.2, 0.1 },
+    { "all hosts cut from each other", 0, 0, 0, kAllHosts, 0 },
   };
   for (const Row& row : rows) {
-    for (const int hosts : { 7, 36 }) {
-      for (std::uint64_t seed = 1; seed <= Seeds(5); ++seed) {
+    for (const int hosts : { 7, 36, 117 }) {
+      for (std::uint64_t seed = 1; seed <= Seeds(hosts > 36 ? 1 : 4); ++seed) {
         INFO(row.name_ << ", " << hosts << " hosts, seed " << seed);
         QuarantineFleetOptions options;
         options.otherCrashes_ = 0.05;
@@ -145,7 +148,11 @@
           if (chance(row.frozen_)) {
             fleet.Freeze(host, aNow + time);
           }
-          if (chance(row.cut_)) {
+          if (row.cut_ == kAllHosts) {
+            for (std::size_t each = 0; each < fleet.Hosts(); ++each) {
+              fleet.CutFromHosts(each, kRunSeconds);
+            }
+          } else if (chance(row.cut_)) {
             fleet.CutFromHosts(host, aNow + time);
           }
           if (chance(row.storeOut_)) {
@@ -159,3 +166,154 @@
     }
   }
 }
+
+// Guards against a popular request that is refused because each crash was seen
+// by another host than the completions in between.
+TEST_CASE("A request that completes at other hosts between crashes is not "
+          "refused")
+{
+  for (std::uint64_t seed = 1; seed <= Seeds(5); ++seed) {
+    INFO("seed " << seed);
+    QuarantineFleetOptions options;
+    options.servers_ = 3;
+    options.popular_ = 1;
+    // Further apart than crashes that may have one cause.
+    options.otherCrashes_ = 0.02;
+    QuarantineFleet fleet(36, options, seed);
+    fleet.RunUntil(300);
+    REQUIRE(fleet.Counts().othersCut_ > 10);
+    REQUIRE(fleet.Counts().othersRefused_ == 0);
+  }
+}
+
+// Guards against a refusal that hosts take from each other for ever, and
+// against one that is lost with the processes that made it.
+TEST_CASE("A refusal outlives restarts and ends at the same time everywhere")
+{
+  constexpr double kLife = 60;
+  for (std::uint64_t seed = 1; seed <= Seeds(3); ++seed) {
+    INFO("seed " << seed);
+    QuarantineFleetOptions options;
+    options.requests_ = 5;
+    options.quarantine_.quarantine_.lifetime_ = FromSeconds(kLife);
+    QuarantineFleet fleet(7, options, seed);
+    for (const double at : { 2.0, 3.0, 4.0 }) {
+      fleet.RunUntil(at);
+      fleet.SendCrashing(fleet.Random()() % fleet.Hosts());
+    }
+    fleet.RunUntil(8);
+    const auto refusing = [&fleet] {
+      std::size_t count = 0;
+      for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+        count += fleet.Refuses(host) ? 1 : 0;
+      }
+      return count;
+    };
+    REQUIRE(refusing() == fleet.Hosts());
+    // Longer than a registration lives without its host.
+    for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+      fleet.Kill(host, 5);
+      fleet.RunUntil(15 + 6.0 * static_cast<double>(host));
+      REQUIRE(refusing() == fleet.Hosts());
+    }
+    fleet.RunUntil(10 + kLife);
+    REQUIRE(refusing() == 0);
+    fleet.RunUntil(30 + kLife);
+    REQUIRE(refusing() == 0);
+  }
+}
+
+// Guards against registrations that grow with a customer's crashing requests.
+TEST_CASE("What a host publishes of refused requests is bounded")
+{
+  AllowanceOwners owners({ { "a", "east" } }, "east", "h1");
+  HostRecord record;
+  record.name_ = "h1";
+  record.region_ = "east";
+  owners.SetHosts({ { "h1", record } });
+  FleetQuarantineHooks hooks;
+  hooks.send_ = [](const std::string&, const QuarantineMessage&) {};
+  const FleetQuarantineOptions options;
+  FleetQuarantine quarantine(options, owners, hooks);
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  for (std::size_t i = 0; i < 2 * options.mostPublished_; ++i) {
+    now += std::chrono::milliseconds(10);
+    const std::string path = "/" + std::to_string(i);
+    quarantine.ApplyPublished({ MakeFingerprint("c", "GET", path, 0, ""), now },
+                              now);
+  }
+  const auto published = quarantine.Published(now);
+  REQUIRE(published.size() == options.mostPublished_);
+  // The newest ones.
+  CHECK(published.front().since_ == now);
+}
+
+// Guards against a time of day that differs between hosts or steps: records
+// must not change with it, and ages never be negative.
+TEST_CASE("Published times survive steps of the time of day")
+{
+  const std::string fingerprint = MakeFingerprint("c", "GET", "/", 0, "");
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  constexpr std::int64_t kNowMs = 1'700'000'000'000;
+  const std::vector<RefusedRequest> refused{
+    { fingerprint, now - std::chrono::seconds(10) }
+  };
+  const auto records = MakeRefusalRecords(refused, {}, now, kNowMs);
+  REQUIRE(records.size() == 1);
+  CHECK(records[0].sinceMs_ == kNowMs - 10'000);
+  CHECK(MakeRefusalRecords(refused, records, now, kNowMs + 3000) == records);
+  CHECK(ReadRefusalRecords(records, now, kNowMs)[0].since_ ==
+        refused[0].since_);
+  CHECK(ReadRefusalRecords(records, now, kNowMs - 60'000)[0].since_ == now);
+
+  const QuarantineNotice notice{
+    fingerprint, { { "s1", std::chrono::seconds(2) } }, false, {}
+  };
+  const auto suspicions = MakeSuspicionRecords({ notice }, {}, kNowMs);
+  CHECK(MakeSuspicionRecords({ notice }, suspicions, kNowMs + 3000) ==
+        suspicions);
+  const auto read = ReadSuspicionRecords(suspicions, kNowMs + 1000);
+  REQUIRE(read.size() == 1);
+  CHECK(read[0].deaths_[0].age_ == std::chrono::seconds(3));
+
+  HostRecord host;
+  host.refused_ = records;
+  host.suspected_ = suspicions;
+  const auto decoded = DecodeHostRecord("h", EncodeHostRecord(host));
+  REQUIRE(decoded);
+  CHECK(decoded->refused_ == records);
+  CHECK(decoded->suspected_ == suspicions);
+}
+
+// Guards against malformed datagrams.
+TEST_CASE("A malformed message about suspected requests is dropped")
+{
+  const std::string fingerprint = MakeFingerprint("c", "GET", "/", 0, "");
+  const QuarantineNotice notice{
+    fingerprint, { { "s1", std::chrono::seconds(2) } }, true, {}
+  };
+  const std::vector<std::string> whole{
+    EncodeQuarantineMessage(
+      SuspectReport{ 7, notice, { { "s2", std::chrono::seconds(1) } } }),
+    EncodeQuarantineMessage(SuspectNotice{ 0, notice }),
+    EncodeQuarantineMessage(
+      SuspectCleared{ fingerprint, std::chrono::seconds(1) }),
+  };
+  std::mt19937_64 random(20261204);
+  for (const std::string& bytes : whole) {
+    REQUIRE(DecodeQuarantineMessage(bytes));
+    for (int i = 0; i < 3000; ++i) {
+      std::string changed = bytes.substr(0, random() % (bytes.size() + 1));
+      for (std::size_t flips = random() % 4; flips > 0 && !changed.empty();
+           --flips) {
+        changed[random() % changed.size()] = static_cast<char>(random());
+      }
+      const auto message = DecodeQuarantineMessage(changed);
+      if (const auto* report =
+            message ? std::get_if<SuspectReport>(&*message) : nullptr) {
+        REQUIRE(report->id_ != 0);
+        REQUIRE(IsFingerprint(report->notice_.fingerprint_));
+      }
+    }
+  }
+}
--- a/src/gateway/testing/QuarantineFleet.cc
+++ b/src/gateway/testing/QuarantineFleet.cc
@@ -1,5 +1,7 @@
 #include "gateway/testing/QuarantineFleet.h"
 
+#include "gateway/QuarantineRecords.h"
+
 #include <algorithm>
 
 namespace peridotsail {
@@ -130,11 +132,8 @@
   host.quarantine_ = std::make_unique<FleetQuarantine>(
     options_.quarantine_, *host.owners_, std::move(hooks));
   for (const auto& [name, record] : records_) {
-    for (const RefusalRecord& refused : record.refused_) {
-      host.quarantine_->ApplyPublished(
-        { refused.fingerprint_,
-          TimePoint() + std::chrono::milliseconds(refused.sinceMs_) },
-        At(now_));
+    if (name != Name(aHost)) {
+      ReadRecord(host, record);
     }
   }
 }
@@ -182,33 +181,51 @@
         record == records_.end()) {
       continue;
     }
-    std::vector<RefusalRecord> refused;
-    for (const RefusedRequest& entry :
-         hosts_[i].quarantine_->Published(At(now_))) {
-      refused.push_back(
-        { entry.fingerprint_, ToMilliseconds(entry.since_ - TimePoint()) });
-    }
-    if (refused == record->second.refused_) {
+    HostRecord next = record->second;
+    next.refused_ =
+      MakeRefusalRecords(hosts_[i].quarantine_->Published(At(now_)),
+                         next.refused_,
+                         At(now_),
+                         UnixMs());
+    next.suspected_ = MakeSuspicionRecords(
+      hosts_[i].quarantine_->Unheard(At(now_)), next.suspected_, UnixMs());
+    const bool same = next.refused_ == record->second.refused_ &&
+                      next.suspected_ == record->second.suspected_;
+    if (same) {
       continue;
     }
-    record->second.refused_ = refused;
+    ++counts_.writes_;
+    record->second = next;
     for (std::size_t to = 0; to < hosts_.size(); ++to) {
-      if (to == i) {
-        continue;
+      if (to != i) {
+        PostOn(to,
+               now_ + Uniform(kLeastLag, kMostLag),
+               [this, next](Host& aSelf) { ReadRecord(aSelf, next); });
       }
-      PostOn(
-        to, now_ + Uniform(kLeastLag, kMostLag), [this, refused](Host& aSelf) {
-          for (const RefusalRecord& entry : refused) {
-            aSelf.quarantine_->ApplyPublished(
-              { entry.fingerprint_,
-                TimePoint() + std::chrono::milliseconds(entry.sinceMs_) },
-              At(now_));
-          }
-        });
     }
   }
 }
 
+void
+QuarantineFleet::ReadRecord(Host& aHost, const HostRecord& aRecord)
+{
+  const TimePoint now = At(now_);
+  for (const RefusedRequest& refused :
+       ReadRefusalRecords(aRecord.refused_, now, UnixMs())) {
+    aHost.quarantine_->ApplyPublished(refused, now);
+  }
+  for (const QuarantineNotice& suspicion :
+       ReadSuspicionRecords(aRecord.suspected_, UnixMs())) {
+    aHost.quarantine_->ApplySuspicion(suspicion, now);
+  }
+}
+
+std::int64_t
+QuarantineFleet::UnixMs() const
+{
+  return ToMilliseconds(FromSeconds(now_));
+}
+
 void
 QuarantineFleet::Send(std::size_t aFrom,
                       std::size_t aTo,
@@ -243,8 +260,9 @@
   Post(now_ + Uniform(0, 2 / options_.requests_), [this] {
     SendOther();
     const auto request = std::make_shared<Request>();
-    const std::uint64_t number =
-      random_() % 3 == 0 ? random_() % kPopular : kPopular + ++nextOther_;
+    const std::uint64_t number = Uniform(0, 1) < options_.popular_
+                                   ? random_() % kPopular
+                                   : kPopular + ++nextOther_;
     request->fingerprint_ =
       MakeFingerprint("c", "GET", "/" + std::to_string(number), 0, "");
     request->idempotent_ = random_() % 3 > 0;
--- a/src/gateway/testing/QuarantineFleet.h
+++ b/src/gateway/testing/QuarantineFleet.h
@@ -31,6 +31,8 @@
   int servers_ = 20;
   // Requests of others over all hosts, in a second.
   double requests_ = 40;
+  // The part of them that are sent again and again, by many callers.
+  double popular_ = 0.3;
   // Servers that crash for other reasons, over all, in a second.
   double otherCrashes_ = 0;
   // The request may be sent to a second server.
@@ -56,6 +58,8 @@
   int othersHeld_ = 0;
   int othersCut_ = 0;
   int messages_ = 0;
+  // Changed registrations.
+  int writes_ = 0;
 };
 
 class QuarantineFleet
@@ -126,6 +130,8 @@
   // All hosts learn of the registered hosts.
   void Announce();
   void PublishRefusals();
+  void ReadRecord(Host& aHost, const HostRecord& aRecord);
+  std::int64_t UnixMs() const;
   void SetTimer(std::size_t aHost);
   void Send(std::size_t aFrom,
             std::size_t aTo,
