Clear requests everywhere that some host saw complete

Two faults of the shared quarantine, found by its own simulation:

Objections to published suspicions now travel with the registration. The causes, one after the other: ages lose the time on their way, so a completion just within its five seconds missed deaths told by a far collector; only the first completion was passed on, an old one that left later deaths; and a host that a far collector had answered did not hear of the completion.

The names of published records become FingerprintRecord and FingerprintTime, since they are used twice.

--- a/src/gateway/FleetQuarantine.cc
+++ b/src/gateway/FleetQuarantine.cc
@@ -9,6 +9,8 @@
 
 // A request under which so many servers died is the business of all hosts.
 constexpr std::size_t kSeriousDeaths = 2;
+// What hosts were told is only remembered to spare messages.
+constexpr std::size_t kMostTold = 4096;
 // Seeds of the rendezvous order, so that collectors and the owners of shares
 // of a customer with the same name differ.
 constexpr std::uint64_t kFirstCollector = 1000;
@@ -86,6 +88,8 @@
 {
   const bool suspected =
     own_.count(aFingerprint) > 0 ||
+    (publishedSuspicions_.count(aFingerprint) > 0 &&
+     objections_.count(aFingerprint) == 0) ||
     !quarantine_.NoticeOf(aFingerprint, aNow).deaths_.empty();
   quarantine_.Completed(aFingerprint, aNow);
   if (suspected) {
@@ -99,6 +103,9 @@
                              TimePoint aNow)
 {
   const SuspectCleared cleared{ aFingerprint, aAge };
+  if (publishedSuspicions_.count(aFingerprint) > 0) {
+    objections_[aFingerprint] = aNow - aAge;
+  }
   bool self = false;
   for (const std::string& address : Collectors(aFingerprint, self)) {
     hooks_.send_(address, cleared);
@@ -123,8 +130,22 @@
     }
   }
   noted_.erase(aCleared.fingerprint_);
-  if (told_.erase(aCleared.fingerprint_) > 0) {
+  const auto told = told_.find(aCleared.fingerprint_);
+  if (told == told_.end()) {
+    return;
+  }
+  const bool newer =
+    told->second.completedAt_ == TimePoint::min() ||
+    completedAt > told->second.completedAt_ + options_.newerCompletion_;
+  if (newer) {
+    Told next;
+    next.completedAt_ = completedAt;
+    next.answered_ = told->second.answered_;
+    told->second = next;
     SendToRegion(aCleared);
+    for (const std::string& address : next.answered_) {
+      hooks_.send_(address, aCleared);
+    }
   }
 }
 
@@ -142,7 +163,7 @@
                                TimePoint aBegun,
                                TimePoint aNow)
 {
-  const auto notices = quarantine_.ServerChecked(aServer, aAlive, aBegun, aNow);
+  auto notices = quarantine_.ServerChecked(aServer, aAlive, aBegun, aNow);
   for (const QuarantineNotice& notice : notices) {
     OwnReport& own = own_[notice.fingerprint_];
     for (const QuarantineDeath& death : notice.deaths_) {
@@ -267,26 +288,34 @@
   }
   const std::string& fingerprint = aReport.notice_.fingerprint_;
   TellRegion(fingerprint, aNow);
-  hooks_.send_(
-    aFrom,
-    SuspectNotice{ aReport.id_, quarantine_.NoticeOf(fingerprint, aNow) });
+  const SuspectNotice answer{ aReport.id_,
+                              quarantine_.NoticeOf(fingerprint, aNow) };
+  if (IsSerious(answer.notice_)) {
+    told_[fingerprint].answered_.insert(aFrom);
+  }
+  hooks_.send_(aFrom, answer);
 }
 
-void
+std::optional<TimePoint>
 FleetQuarantine::Apply(const QuarantineNotice& aNotice, TimePoint aNow)
 {
-  const auto completed = quarantine_.LastCompletion(aNotice.fingerprint_);
+  QuarantineNotice notice = aNotice;
+  for (QuarantineDeath& death : notice.deaths_) {
+    death.age_ += options_.transit_;
+  }
+  const auto completed = quarantine_.LastCompletion(notice.fingerprint_);
   const bool objects =
-    completed && std::any_of(aNotice.deaths_.begin(),
-                             aNotice.deaths_.end(),
+    completed && std::any_of(notice.deaths_.begin(),
+                             notice.deaths_.end(),
                              [&](const QuarantineDeath& aDeath) {
                                return quarantine_.IsClearedBy(
                                  *completed, aNow - aDeath.age_);
                              });
-  quarantine_.Apply(aNotice, aNow);
+  quarantine_.Apply(notice, aNow);
   if (objects && IsSerious(aNotice)) {
-    SendCleared(aNotice.fingerprint_, aNow - *completed, aNow);
+    SendCleared(notice.fingerprint_, aNow - *completed, aNow);
   }
+  return objects ? completed : std::nullopt;
 }
 
 // Tells the hosts of this region what has become known since they were told
@@ -298,10 +327,14 @@
   if (!IsSerious(notice)) {
     return;
   }
+  if (told_.size() >= kMostTold) {
+    told_.clear();
+  }
   Told& told = told_[aFingerprint];
   const bool news = notice.deaths_.size() > told.deaths_ ||
                     notice.quarantined_ != told.refused_;
-  told = { notice.deaths_.size(), notice.quarantined_ };
+  told.deaths_ = notice.deaths_.size();
+  told.refused_ = notice.quarantined_;
   if (news) {
     SendToRegion(SuspectNotice{ 0, notice });
   }
@@ -318,20 +351,19 @@
 }
 
 void
-FleetQuarantine::ApplyPublished(const RefusedRequest& aRefused, TimePoint aNow)
+FleetQuarantine::ApplyPublished(const FingerprintTime& aRefused, TimePoint aNow)
 {
-  const QuarantineNotice notice{ aRefused.fingerprint_,
-                                 {},
-                                 true,
-                                 std::max(Duration(), aNow - aRefused.since_) };
+  const QuarantineNotice notice{
+    aRefused.fingerprint_, {}, true, std::max(Duration(), aNow - aRefused.time_)
+  };
   quarantine_.Apply(notice, aNow);
   NoteRefusals(aNow);
 }
 
-std::vector<RefusedRequest>
+std::vector<FingerprintTime>
 FleetQuarantine::Published(TimePoint aNow) const
 {
-  std::vector<RefusedRequest> published;
+  std::vector<FingerprintTime> published;
   for (const QuarantineNotice& notice : quarantine_.Refused(aNow)) {
     const std::size_t near = hosts_.NearShare();
     const AllowanceOwner* first =
@@ -343,8 +375,8 @@
   if (published.size() > options_.mostPublished_) {
     std::sort(published.begin(),
               published.end(),
-              [](const RefusedRequest& aOne, const RefusedRequest& aOther) {
-                return aOne.since_ > aOther.since_;
+              [](const FingerprintTime& aOne, const FingerprintTime& aOther) {
+                return aOne.time_ > aOther.time_;
               });
     published.resize(options_.mostPublished_);
   }
@@ -366,10 +398,50 @@
 void
 FleetQuarantine::ApplySuspicion(const QuarantineNotice& aNotice, TimePoint aNow)
 {
-  Apply(aNotice, aNow);
+  publishedSuspicions_[aNotice.fingerprint_] = aNow;
+  // The way through the store takes seconds, so that an objection goes out
+  // before the deaths are serious.
+  if (const auto completed = Apply(aNotice, aNow)) {
+    objections_.try_emplace(aNotice.fingerprint_, *completed);
+  }
   NoteRefusals(aNow);
 }
 
+std::vector<FingerprintTime>
+FleetQuarantine::Objections() const
+{
+  std::vector<FingerprintTime> objections;
+  for (const auto& [fingerprint, time] : objections_) {
+    if (objections.size() < options_.mostPublished_) {
+      objections.push_back({ fingerprint, time });
+    }
+  }
+  return objections;
+}
+
+void
+FleetQuarantine::ApplyObjection(const FingerprintTime& aCompleted,
+                                TimePoint aNow)
+{
+  Clear(
+    { aCompleted.fingerprint_, std::max(Duration(), aNow - aCompleted.time_) },
+    aNow);
+}
+
+void
+FleetQuarantine::ForgetPublished(TimePoint aNow)
+{
+  for (auto it = publishedSuspicions_.begin();
+       it != publishedSuspicions_.end();) {
+    if (aNow - it->second > options_.lastRepeat_) {
+      objections_.erase(it->first);
+      it = publishedSuspicions_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
 std::optional<TimePoint>
 FleetQuarantine::NextTimeout(TimePoint aNow) const
 {
@@ -383,6 +455,9 @@
   for (const auto& [fingerprint, own] : own_) {
     consider(own.next_);
   }
+  for (const auto& [fingerprint, readAt] : publishedSuspicions_) {
+    consider(readAt + options_.lastRepeat_ + std::chrono::milliseconds(1));
+  }
   return next;
 }
 
@@ -392,6 +467,7 @@
   Resume([&](const Waiting& aWaiting) { return aNow >= aWaiting.until_; });
   RepeatReports(aNow);
   NoteRefusals(aNow);
+  ForgetPublished(aNow);
 }
 
 void
--- a/src/gateway/FleetQuarantine.h
+++ b/src/gateway/FleetQuarantine.h
@@ -12,7 +12,8 @@
 // which clears it everywhere. Meanwhile runs of the request wait. All hosts
 // then decide alike. The first collector of each region also publishes what is
 // refused with its registration, for hosts that start later or heard nothing. A
-// host whose reports nobody answers publishes them with its own registration.
+// host whose reports nobody answers publishes them with its own registration,
+// and so do those that object to what was published.
 //
 // Pure; used on the traffic thread. Messages may be lost, doubled or late:
 // reports are repeated, and evidence carries its age.
@@ -46,6 +47,13 @@
   // A request is not held longer for the check of its server and for the
   // answer of a collector: a way to another region and back.
   Duration verdictWait_ = std::chrono::milliseconds(150);
+  // An age in a message lacks the time on its way, and that of the message
+  // before; a death counts as so much older, for whoever saw the request
+  // complete just before it.
+  Duration transit_ = std::chrono::milliseconds(200);
+  // Of several completions that clear a request, one is passed on when it is
+  // newer by this: an old one may leave the last deaths uncleared.
+  Duration newerCompletion_ = std::chrono::milliseconds(500);
   // A report is repeated after this time, and again after twice the time each,
   // until the last pause: it may be lost, or its collector may have changed.
   Duration firstRepeat_ = std::chrono::milliseconds(500);
@@ -65,11 +73,11 @@
   std::function<void(const QuarantineNotice&)> onRefused_;
 };
 
-// A refused request, as a host publishes it.
-struct RefusedRequest
+// A request and when something happened to it.
+struct FingerprintTime
 {
   std::string fingerprint_;
-  TimePoint since_;
+  TimePoint time_;
 };
 
 class FleetQuarantine
@@ -108,11 +116,15 @@
                const std::string& aFrom,
                TimePoint aNow);
   // Another host has published the refusal of a request.
-  void ApplyPublished(const RefusedRequest& aRefused, TimePoint aNow);
+  void ApplyPublished(const FingerprintTime& aRefused, TimePoint aNow);
   // The refused requests that this host publishes.
-  std::vector<RefusedRequest> Published(TimePoint aNow) const;
+  std::vector<FingerprintTime> Published(TimePoint aNow) const;
   // What this host saw and reported, and no collector has heard of.
   std::vector<QuarantineNotice> Unheard(TimePoint aNow) const;
+  // Requests that completed here although another host publishes a suspicion.
+  std::vector<FingerprintTime> Objections() const;
+  // Another host has published such a completion.
+  void ApplyObjection(const FingerprintTime& aCompleted, TimePoint aNow);
   // Another host has published deaths that it saw.
   void ApplySuspicion(const QuarantineNotice& aNotice, TimePoint aNow);
   // When OnTimer has something to do.
@@ -144,6 +156,10 @@
   {
     std::size_t deaths_ = 0;
     bool refused_ = false;
+    // The completion that they were told of.
+    TimePoint completedAt_ = TimePoint::min();
+    // Hosts of any region whose reports were answered with serious deaths.
+    std::set<std::string> answered_;
   };
 
   // The other collectors' addresses; aSelf tells whether this host is one.
@@ -160,12 +176,15 @@
                    TimePoint aNow);
   void Clear(const SuspectCleared& aCleared, TimePoint aNow);
   // Takes over the notice, but for the deaths that a completion here clears.
-  void Apply(const QuarantineNotice& aNotice, TimePoint aNow);
+  // Returns the time of that completion.
+  std::optional<TimePoint> Apply(const QuarantineNotice& aNotice,
+                                 TimePoint aNow);
   void OnReport(const SuspectReport& aReport,
                 const std::string& aFrom,
                 TimePoint aNow);
   void Resume(const std::function<bool(const Waiting&)>& aWhich);
   void RepeatReports(TimePoint aNow);
+  void ForgetPublished(TimePoint aNow);
   void NoteRefusals(TimePoint aNow);
 
   FleetQuarantineOptions options_;
@@ -177,6 +196,10 @@
   std::map<std::string, Told> told_;
   // Refusals that onRefused_ was called for.
   std::set<std::string> noted_;
+  // Suspicions that other hosts published, and when they were last read, and
+  // what this host has to say against them.
+  std::map<std::string, TimePoint> publishedSuspicions_;
+  std::map<std::string, TimePoint> objections_;
   std::vector<Waiting> waiting_;
   std::uint64_t nextReport_ = 1;
 };
--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -17,13 +17,34 @@
   return static_cast<std::size_t>(count);
 }
 
+namespace {
+
+json
+EncodeFingerprints(const std::vector<FingerprintRecord>& aRecords)
+{
+  json list = json::array();
+  for (const FingerprintRecord& entry : aRecords) {
+    list.push_back(json::array({ entry.fingerprint_, entry.unixMs_ }));
+  }
+  return list;
+}
+
+std::vector<FingerprintRecord>
+DecodeFingerprints(const json& aList)
+{
+  std::vector<FingerprintRecord> records;
+  for (const json& entry : aList) {
+    records.push_back(
+      { entry.at(0).get<std::string>(), entry.at(1).get<std::int64_t>() });
+  }
+  return records;
+}
+
+}
+
 std::string
 EncodeHostRecord(const HostRecord& aHost)
 {
-  json refused = json::array();
-  for (const RefusalRecord& entry : aHost.refused_) {
-    refused.push_back(json::array({ entry.fingerprint_, entry.sinceMs_ }));
-  }
   json suspected = json::array();
   for (const SuspicionRecord& entry : aHost.suspected_) {
     suspected.push_back(json::array({ entry.fingerprint_, entry.deaths_ }));
@@ -33,7 +54,8 @@
                      { "failure_domain", aHost.failureDomain_ },
                      { "region", aHost.region_ },
                      { "draining", aHost.draining_ },
-                     { "refused", refused },
+                     { "refused", EncodeFingerprints(aHost.refused_) },
+                     { "completed", EncodeFingerprints(aHost.completed_) },
                      { "suspected", suspected } };
   return record.dump();
 }
@@ -50,10 +72,8 @@
     host.failureDomain_ = record.at("failure_domain").get<std::string>();
     host.region_ = record.at("region").get<std::string>();
     host.draining_ = record.at("draining").get<bool>();
-    for (const json& entry : record.at("refused")) {
-      host.refused_.push_back(
-        { entry.at(0).get<std::string>(), entry.at(1).get<std::int64_t>() });
-    }
+    host.refused_ = DecodeFingerprints(record.at("refused"));
+    host.completed_ = DecodeFingerprints(record.at("completed"));
     for (const json& entry : record.at("suspected")) {
       host.suspected_.push_back(
         { entry.at(0).get<std::string>(),
--- a/src/gateway/FleetTypes.h
+++ b/src/gateway/FleetTypes.h
@@ -32,16 +32,16 @@
   std::int64_t born_ = 0;
 };
 
-// A request that a host refuses because it crashes backend servers.
-struct RefusalRecord
+// A request that a host publishes something of, and since when.
+struct FingerprintRecord
 {
   std::string fingerprint_;
-  // Unix time of the decision in milliseconds.
-  std::int64_t sinceMs_ = 0;
+  // Unix time in milliseconds.
+  std::int64_t unixMs_ = 0;
 
-  bool operator==(const RefusalRecord& aOther) const
+  bool operator==(const FingerprintRecord& aOther) const
   {
-    return fingerprint_ == aOther.fingerprint_ && sinceMs_ == aOther.sinceMs_;
+    return fingerprint_ == aOther.fingerprint_ && unixMs_ == aOther.unixMs_;
   }
 };
 
@@ -71,8 +71,12 @@
   std::string failureDomain_;
   std::string region_;
   bool draining_ = false;
-  std::vector<RefusalRecord> refused_;
+  // Requests that it refuses because they crash backend servers, those under
+  // which it saw servers die, and those that it saw complete although another
+  // host suspects them.
+  std::vector<FingerprintRecord> refused_;
   std::vector<SuspicionRecord> suspected_;
+  std::vector<FingerprintRecord> completed_;
 };
 
 // All that the control loop knows, as an immutable snapshot.
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -342,7 +342,8 @@
   self_.draining_ = draining_.load();
   const bool changed = self_.draining_ != published_.draining_ ||
                        !(self_.refused_ == published_.refused_) ||
-                       !(self_.suspected_ == published_.suspected_);
+                       !(self_.suspected_ == published_.suspected_) ||
+                       !(self_.completed_ == published_.completed_);
   if (!changed) {
     return;
   }
--- a/src/gateway/QuarantineChannel.cc
+++ b/src/gateway/QuarantineChannel.cc
@@ -130,14 +130,19 @@
 void
 QuarantineChannel::ApplyPublished(const HostRecord& aHost, std::int64_t aUnixMs)
 {
-  if (aHost.refused_.empty() && aHost.suspected_.empty()) {
+  if (aHost.refused_.empty() && aHost.suspected_.empty() &&
+      aHost.completed_.empty()) {
     return;
   }
   const TimePoint now = BootClock::now();
-  for (const RefusedRequest& refused :
-       ReadRefusalRecords(aHost.refused_, now, aUnixMs)) {
+  for (const FingerprintTime& refused :
+       ReadFingerprintRecords(aHost.refused_, now, aUnixMs)) {
     quarantine_.ApplyPublished(refused, now);
   }
+  for (const FingerprintTime& completed :
+       ReadFingerprintRecords(aHost.completed_, now, aUnixMs)) {
+    quarantine_.ApplyObjection(completed, now);
+  }
   for (const QuarantineNotice& suspicion :
        ReadSuspicionRecords(aHost.suspected_, aUnixMs)) {
     quarantine_.ApplySuspicion(suspicion, now);
@@ -149,7 +154,7 @@
 QuarantineChannel::Publish(HostRecord& aSelf, std::int64_t aUnixMs) const
 {
   const TimePoint now = BootClock::now();
-  aSelf.refused_ = MakeRefusalRecords(
+  aSelf.refused_ = MakeFingerprintRecords(
     quarantine_.Published(now), aSelf.refused_, now, aUnixMs);
   aSelf.suspected_ =
     MakeSuspicionRecords(quarantine_.Unheard(now), aSelf.suspected_, aUnixMs);
--- a/src/gateway/QuarantineRecords.cc
+++ b/src/gateway/QuarantineRecords.cc
@@ -25,38 +25,38 @@
 
 }
 
-std::vector<RefusalRecord>
-MakeRefusalRecords(const std::vector<RefusedRequest>& aRefused,
-                   const std::vector<RefusalRecord>& aPublished,
-                   TimePoint aNow,
-                   std::int64_t aUnixMs)
+std::vector<FingerprintRecord>
+MakeFingerprintRecords(const std::vector<FingerprintTime>& aRefused,
+                       const std::vector<FingerprintRecord>& aPublished,
+                       TimePoint aNow,
+                       std::int64_t aUnixMs)
 {
-  std::vector<RefusalRecord> records;
-  for (const RefusedRequest& refused : aRefused) {
+  std::vector<FingerprintRecord> records;
+  for (const FingerprintTime& refused : aRefused) {
     const auto known =
       std::find_if(aPublished.begin(),
                    aPublished.end(),
-                   [&refused](const RefusalRecord& aRecord) {
+                   [&refused](const FingerprintRecord& aRecord) {
                      return aRecord.fingerprint_ == refused.fingerprint_;
                    });
     records.push_back(
       known != aPublished.end()
         ? *known
-        : RefusalRecord{ refused.fingerprint_,
-                         aUnixMs - ToMilliseconds(aNow - refused.since_) });
+        : FingerprintRecord{ refused.fingerprint_,
+                             aUnixMs - ToMilliseconds(aNow - refused.time_) });
   }
   return records;
 }
 
-std::vector<RefusedRequest>
-ReadRefusalRecords(const std::vector<RefusalRecord>& aRecords,
-                   TimePoint aNow,
-                   std::int64_t aUnixMs)
+std::vector<FingerprintTime>
+ReadFingerprintRecords(const std::vector<FingerprintRecord>& aRecords,
+                       TimePoint aNow,
+                       std::int64_t aUnixMs)
 {
-  std::vector<RefusedRequest> refused;
-  for (const RefusalRecord& record : aRecords) {
+  std::vector<FingerprintTime> refused;
+  for (const FingerprintRecord& record : aRecords) {
     refused.push_back(
-      { record.fingerprint_, aNow - AgeAt(record.sinceMs_, aUnixMs) });
+      { record.fingerprint_, aNow - AgeAt(record.unixMs_, aUnixMs) });
   }
   return refused;
 }
@@ -67,6 +67,7 @@
                      std::int64_t aUnixMs)
 {
   std::vector<SuspicionRecord> records;
+  records.reserve(aSuspected.size());
   for (const QuarantineNotice& notice : aSuspected) {
     SuspicionRecord record{ notice.fingerprint_, {} };
     for (const QuarantineDeath& death : notice.deaths_) {
--- a/src/gateway/QuarantineRecords.h
+++ b/src/gateway/QuarantineRecords.h
@@ -16,16 +16,16 @@
 
 // aPublished are the records so far; their times are kept, so that a step of
 // the time of day changes no record.
-std::vector<RefusalRecord>
-MakeRefusalRecords(const std::vector<RefusedRequest>& aRefused,
-                   const std::vector<RefusalRecord>& aPublished,
-                   TimePoint aNow,
-                   std::int64_t aUnixMs);
-
-std::vector<RefusedRequest>
-ReadRefusalRecords(const std::vector<RefusalRecord>& aRecords,
-                   TimePoint aNow,
-                   std::int64_t aUnixMs);
+std::vector<FingerprintRecord>
+MakeFingerprintRecords(const std::vector<FingerprintTime>& aRefused,
+                       const std::vector<FingerprintRecord>& aPublished,
+                       TimePoint aNow,
+                       std::int64_t aUnixMs);
+
+std::vector<FingerprintTime>
+ReadFingerprintRecords(const std::vector<FingerprintRecord>& aRecords,
+                       TimePoint aNow,
+                       std::int64_t aUnixMs);
 
 // The same for requests under which servers died.
 std::vector<SuspicionRecord>
--- a/src/gateway/testing/QuarantineFleet.cc
+++ b/src/gateway/testing/QuarantineFleet.cc
@@ -3,6 +3,7 @@
 #include "gateway/QuarantineRecords.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace peridotsail {
 
@@ -25,8 +26,6 @@
 constexpr double kTimerLag = 0.0005;
 constexpr double kHoldCheck = 0.05;
 constexpr int kMostAttempts = 2;
-// Requests that many callers send.
-constexpr std::uint64_t kPopular = 5;
 constexpr int kThird = 3;
 
 const std::string&
@@ -100,18 +99,20 @@
                         double aAt,
                         std::function<void(Host&)> aTask)
 {
-  Post(aAt, [this, aHost, process = hosts_[aHost].process_, task = aTask] {
-    Host& host = hosts_[aHost];
-    if (!host.alive_ || host.process_ != process) {
-      return;
-    }
-    if (now_ < host.frozenUntil_) {
-      PostOn(aHost, host.frozenUntil_, task);
-      return;
-    }
-    task(host);
-    SetTimer(aHost);
-  });
+  Post(
+    aAt,
+    [this, aHost, process = hosts_[aHost].process_, task = std::move(aTask)] {
+      Host& host = hosts_[aHost];
+      if (!host.alive_ || host.process_ != process) {
+        return;
+      }
+      if (now_ < host.frozenUntil_) {
+        PostOn(aHost, host.frozenUntil_, task);
+        return;
+      }
+      task(host);
+      SetTimer(aHost);
+    });
 }
 
 void
@@ -183,13 +184,16 @@
     }
     HostRecord next = record->second;
     next.refused_ =
-      MakeRefusalRecords(hosts_[i].quarantine_->Published(At(now_)),
-                         next.refused_,
-                         At(now_),
-                         UnixMs());
+      MakeFingerprintRecords(hosts_[i].quarantine_->Published(At(now_)),
+                             next.refused_,
+                             At(now_),
+                             UnixMs());
+    next.completed_ = MakeFingerprintRecords(
+      hosts_[i].quarantine_->Objections(), next.completed_, At(now_), UnixMs());
     next.suspected_ = MakeSuspicionRecords(
       hosts_[i].quarantine_->Unheard(At(now_)), next.suspected_, UnixMs());
     const bool same = next.refused_ == record->second.refused_ &&
+                      next.completed_ == record->second.completed_ &&
                       next.suspected_ == record->second.suspected_;
     if (same) {
       continue;
@@ -210,10 +214,14 @@
 QuarantineFleet::ReadRecord(Host& aHost, const HostRecord& aRecord)
 {
   const TimePoint now = At(now_);
-  for (const RefusedRequest& refused :
-       ReadRefusalRecords(aRecord.refused_, now, UnixMs())) {
+  for (const FingerprintTime& refused :
+       ReadFingerprintRecords(aRecord.refused_, now, UnixMs())) {
     aHost.quarantine_->ApplyPublished(refused, now);
   }
+  for (const FingerprintTime& completed :
+       ReadFingerprintRecords(aRecord.completed_, now, UnixMs())) {
+    aHost.quarantine_->ApplyObjection(completed, now);
+  }
   for (const QuarantineNotice& suspicion :
        ReadSuspicionRecords(aRecord.suspected_, UnixMs())) {
     aHost.quarantine_->ApplySuspicion(suspicion, now);
@@ -261,11 +269,11 @@
     SendOther();
     const auto request = std::make_shared<Request>();
     const std::uint64_t number = Uniform(0, 1) < options_.popular_
-                                   ? random_() % kPopular
-                                   : kPopular + ++nextOther_;
+                                   ? random_() % options_.popularKinds_
+                                   : options_.popularKinds_ + ++nextOther_;
     request->fingerprint_ =
       MakeFingerprint("c", "GET", "/" + std::to_string(number), 0, "");
-    request->idempotent_ = random_() % 3 > 0;
+    request->idempotent_ = Uniform(0, 1) < options_.othersIdempotent_;
     request->host_ = random_() % hosts_.size();
     ++counts_.others_;
     Begin(request);
@@ -299,6 +307,16 @@
   Begin(request);
 }
 
+void
+QuarantineFleet::CrashServers(std::size_t aServers)
+{
+  for (std::size_t server = 0; server < aServers; ++server) {
+    if (servers_[server].alive_) {
+      Crash(server);
+    }
+  }
+}
+
 bool
 QuarantineFleet::Refuses(std::size_t aHost)
 {
--- a/src/gateway/testing/QuarantineFleet.h
+++ b/src/gateway/testing/QuarantineFleet.h
@@ -33,6 +33,10 @@
   double requests_ = 40;
   // The part of them that are sent again and again, by many callers.
   double popular_ = 0.3;
+  // How many different ones these are.
+  std::uint64_t popularKinds_ = 5;
+  // The part of them that are idempotent.
+  double othersIdempotent_ = 0.7;
   // Servers that crash for other reasons, over all, in a second.
   double otherCrashes_ = 0;
   // The request may be sent to a second server.
@@ -76,6 +80,8 @@
   // A caller sends the crashing request to a host, and once more to another
   // one when that fails and the request is idempotent.
   void SendCrashing(std::size_t aHost);
+  // Servers end together, as with the loss of a failure domain.
+  void CrashServers(std::size_t aServers);
   // Whether the host refuses it now.
   bool Refuses(std::size_t aHost);
   void RunUntil(double aNow);
