--- a/src/backend/Quarantine.h
+++ b/src/backend/Quarantine.h
@@ -104,6 +104,10 @@
   // The last completion that is remembered.
   std::optional<TimePoint> LastCompletion(
     const std::string& aFingerprint) const;
+  bool IsSuspected(const std::string& aFingerprint) const
+  {
+    return suspects_.count(aFingerprint) > 0;
+  }
   // What is known of the fingerprint; no deaths when it is not suspected.
   QuarantineNotice NoticeOf(const std::string& aFingerprint,
                             TimePoint aNow) const;
--- a/src/gateway/FleetQuarantine.cc
+++ b/src/gateway/FleetQuarantine.cc
@@ -86,11 +86,10 @@
 void
 FleetQuarantine::Completed(const std::string& aFingerprint, TimePoint aNow)
 {
-  const bool suspected =
-    own_.count(aFingerprint) > 0 ||
-    (publishedSuspicions_.count(aFingerprint) > 0 &&
-     objections_.count(aFingerprint) == 0) ||
-    !quarantine_.NoticeOf(aFingerprint, aNow).deaths_.empty();
+  const bool suspected = own_.count(aFingerprint) > 0 ||
+                         quarantine_.IsSuspected(aFingerprint) ||
+                         (publishedSuspicions_.count(aFingerprint) > 0 &&
+                          objections_.count(aFingerprint) == 0);
   quarantine_.Completed(aFingerprint, aNow);
   if (suspected) {
     SendCleared(aFingerprint, Duration::zero(), aNow);
--- a/src/gateway/QuarantineRecords.cc
+++ b/src/gateway/QuarantineRecords.cc
@@ -53,12 +53,13 @@
                        TimePoint aNow,
                        std::int64_t aUnixMs)
 {
-  std::vector<FingerprintTime> refused;
+  std::vector<FingerprintTime> times;
+  times.reserve(aRecords.size());
   for (const FingerprintRecord& record : aRecords) {
-    refused.push_back(
+    times.push_back(
       { record.fingerprint_, aNow - AgeAt(record.unixMs_, aUnixMs) });
   }
-  return refused;
+  return times;
 }
 
 std::vector<SuspicionRecord>
