--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=target/review
 mkdir -p "$out"
-shared=(Net Record Store Server Host Rig)
+shared=(Net Record Store Server Host Rig Machines Fleet)
 objects=()
 compile() {
   g++ -std=c++17 -O1 -Wall -Wextra -Wshadow -pthread -c "review/stand/$1.cc" -o "$out/$1.o"
--- a/review/stand/Host.cc
+++ b/review/stand/Host.cc
@@ -29,9 +29,9 @@
 {
   const int pid = static_cast<int>(getpid());
   for (int attempt = 0; attempt < 200; ++attempt) {
-    std::string ip = "127." + std::to_string(1 + (pid + attempt) % 250) +
-                           "." + std::to_string(1 + pid / 250 % 250) + "." +
-                           std::to_string(1 + aNumber);
+    std::string ip = "127." + std::to_string(1 + (pid + attempt) % 250) + "." +
+                     std::to_string(1 + pid / 250 % 250) + "." +
+                     std::to_string(1 + aNumber);
     if (FindFreePort(ip, kMetricsPort) != 0 &&
         FindFreePort(ip, kMetricsPort + 1) != 0) {
       return ip;
--- a/review/stand/Rig.cc
+++ b/review/stand/Rig.cc
@@ -1,5 +1,6 @@
 #include "Rig.h"
 
+#include <cstdlib>
 #include <set>
 
 namespace peridotsail::review {
@@ -9,8 +10,6 @@
 // How long a caller waits beyond its time limit.
 constexpr Milliseconds kPatience{ 2000 };
 
-}
-
 std::optional<CaseArguments>
 ReadArguments(int aCount, char** aValues)
 {
@@ -23,6 +22,21 @@
   };
 }
 
+}
+
+void
+RunCase(int aCount,
+        char** aValues,
+        const std::function<int(const CaseArguments&, Record&)>& aCase)
+{
+  const auto arguments = ReadArguments(aCount, aValues);
+  if (!arguments) {
+    std::_Exit(static_cast<int>(Result::CouldNotRun));
+  }
+  Record record(arguments->folder_ + "/record.txt");
+  std::_Exit(aCase(*arguments, record));
+}
+
 int
 Finish(Record& aRecord, Result aResult, const std::string& aWhy)
 {
--- a/review/stand/Rig.h
+++ b/review/stand/Rig.h
@@ -11,6 +11,7 @@
 #include "Record.h"
 #include "Store.h"
 
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -34,14 +35,17 @@
   bool trouble_ = true;
 };
 
-// Returns nullopt if the command line cannot be used.
-std::optional<CaseArguments>
-ReadArguments(int aCount, char** aValues);
-
 // Writes the result to the record and returns the exit code.
 int
 Finish(Record& aRecord, Result aResult, const std::string& aWhy);
 
+// The main function of a case: runs aCase and ends the process with its result
+// and without waiting for the threads of the stand-ins.
+[[noreturn]] void
+RunCase(int aCount,
+        char** aValues,
+        const std::function<int(const CaseArguments&, Record&)>& aCase);
+
 constexpr char kHostHeader[] = "post.example";
 
 struct Tenant
--- a/review/stand/Server.cc
+++ b/review/stand/Server.cc
@@ -1,5 +1,6 @@
 #include "Server.h"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -39,17 +40,21 @@
 void
 Server::Beat()
 {
+  const Clock::time_point warmAt = Clock::now() + options_.cold_;
   for (std::uint64_t sequence = 1;; ++sequence) {
-    const nlohmann::json entry{ { "service", options_.service_ },
-                                { "address",
-                                  options_.ip_ + ":" + std::to_string(port_) },
-                                { "zone", options_.zone_ },
-                                { "version", "v1" },
-                                { "slots", options_.slots_ },
-                                { "state", "ready" },
-                                { "coldLeftMs", 0 },
-                                { "sequence", sequence },
-                                { "born", born_ } };
+    const auto coldLeft =
+      std::chrono::duration_cast<Milliseconds>(warmAt - Clock::now()).count();
+    const nlohmann::json entry{
+      { "service", options_.service_ },
+      { "address", options_.ip_ + ":" + std::to_string(port_) },
+      { "zone", options_.zone_ },
+      { "version", "v1" },
+      { "slots", options_.slots_ },
+      { "state", "ready" },
+      { "coldLeftMs", std::max<std::int64_t>(0, coldLeft) },
+      { "sequence", sequence },
+      { "born", born_ }
+    };
     store_.Put("servers/" + options_.id_, entry.dump());
     std::this_thread::sleep_for(kBeatInterval);
   }
--- a/review/stand/Server.h
+++ b/review/stand/Server.h
@@ -27,6 +27,8 @@
   int slots_ = 3;
   int queue_ = 9;
   Milliseconds work_{ 100 };
+  // How long the server is cold after its start.
+  Milliseconds cold_{ 0 };
 };
 
 class Server
--- a/review/stand/TwoOwnersCase.cc
+++ b/review/stand/TwoOwnersCase.cc
@@ -3,7 +3,7 @@
 // owner. The first one does not hear of it and goes on granting, so that both
 // grant tokens of the same share.
 
-#include "Rig.h"
+#include "Machines.h"
 #include "Server.h"
 
 #include <algorithm>
@@ -38,14 +38,7 @@
 constexpr Milliseconds kCutTime{ 5000 };
 constexpr Milliseconds kPressAfter{ 400 };
 
-struct Place
-{
-  const char* name_;
-  const char* zone_;
-  const char* region_;
-};
-
-constexpr Place kPlaces[] = {
+const std::vector<Place> kPlaces{
   { "front-dublin-a-1", "dublin-a", "eu-west" },
   { "front-santiago-a-1", "santiago-a", "sa-south" },
   { "front-osaka-a-1", "osaka-a", "ap-east" },
@@ -56,7 +49,7 @@
 constexpr std::size_t kAddedHost = 3;
 
 // A request that a server has run.
-struct Run
+struct Arrival
 {
   int tenant_;
   long sentAt_;
@@ -66,10 +59,11 @@
 class TwoOwners
 {
 public:
-  explicit TwoOwners(const CaseArguments& aArguments)
+  TwoOwners(const CaseArguments& aArguments, Record& aRecord)
     : arguments_(aArguments)
-    , record_(aArguments.folder_ + "/record.txt")
+    , record_(aRecord)
     , store_("127.0.0.1")
+    , machines_(aArguments, aRecord, store_, kPlaces)
   {
     for (int i = 0; i < kTenants; ++i) {
       const std::string number = std::to_string(i);
@@ -85,7 +79,7 @@
       caller.join();
     }
     callers_.clear();
-    hosts_.clear();
+    machines_.Stop();
   }
 
   int Execute()
@@ -99,8 +93,7 @@
     }
     std::this_thread::sleep_for(kPressBefore);
     if (arguments_.trouble_) {
-      record_.Add("the host front-osaka-a-1 is cut off from the store");
-      store_.ShutDoor(kPlaces[kCutHost].name_, true);
+      machines_.Cut(kCutHost, true);
     }
     std::this_thread::sleep_for(kAddAfterCut);
     if (!AddHost(kAddedHost)) {
@@ -109,7 +102,7 @@
     }
     AddCallers(*hosts_[kAddedHost]);
     std::this_thread::sleep_for(kCutTime - kAddAfterCut);
-    store_.ShutDoor(kPlaces[kCutHost].name_, false);
+    machines_.Cut(kCutHost, false);
     std::this_thread::sleep_for(kPressAfter);
     StopAll();
     return Judge();
@@ -135,29 +128,14 @@
     const nlohmann::json routes{ MakeRoute(
       { "inbox", "safe", "postbox", 1200 }) };
     store_.Put("op/config", MakeConfiguration(routes, tenants_).dump());
-    hosts_.resize(kAddedHost + 1);
     return AddHost(0) && AddHost(1) && AddHost(kCutHost);
   }
 
-  bool AddHost(std::size_t aIndex)
+  bool AddHost(std::size_t aPlace)
   {
-    const Place& place = kPlaces[aIndex];
-    HostOptions options;
-    options.name_ = place.name_;
-    options.ip_ = FreeHostIp(static_cast<int>(aIndex));
-    options.zone_ = place.zone_;
-    options.region_ = place.region_;
-    for (const Place& other : kPlaces) {
-      options.zones_[other.zone_] = other.region_;
-    }
-    options.storeIp_ = "127.0.0.1";
-    options.storePort_ = store_.OpenDoor(options.name_);
-    options.folder_ = arguments_.temporary_;
-    options.program_ = arguments_.program_;
-    options.bootstrap_ = aIndex != kAddedHost;
-    hosts_[aIndex] = std::make_unique<Host>(options, record_);
-    return hosts_[aIndex]->Start() &&
-           hosts_[aIndex]->WaitUntilReady(Milliseconds(5000));
+    Host* host = machines_.Start(aPlace, aPlace != kAddedHost);
+    hosts_.push_back(host);
+    return host != nullptr;
   }
 
   void AddCallers(const Host& aHost)
@@ -190,7 +168,7 @@
     for (const auto& server : servers_) {
       if (const auto at = server->RanAt(aId)) {
         const std::lock_guard<std::mutex> lock(mutex_);
-        runs_.push_back({ aTenant, aSentAt, *at });
+        arrivals_.push_back({ aTenant, aSentAt, *at });
       }
     }
   }
@@ -199,12 +177,12 @@
   long MostInWindow(int aTenant) const
   {
     long most = 0;
-    for (const Run& first : runs_) {
+    for (const Arrival& first : arrivals_) {
       const long start = first.sentAt_;
-      const auto count =
-        std::count_if(runs_.begin(), runs_.end(), [&](const Run& aRun) {
-          return aRun.tenant_ == aTenant && aRun.sentAt_ >= start &&
-                 aRun.arrivedAt_ < start + kWindowMs;
+      const auto count = std::count_if(
+        arrivals_.begin(), arrivals_.end(), [&](const Arrival& aOther) {
+          return aOther.tenant_ == aTenant && aOther.sentAt_ >= start &&
+                 aOther.arrivedAt_ < start + kWindowMs;
         });
       most = std::max<long>(most, count);
     }
@@ -229,18 +207,29 @@
                   "a tenant had " + std::to_string(most) + " requests run");
   }
 
-  CaseArguments arguments_;
-  Record record_;
+  const CaseArguments& arguments_;
+  Record& record_;
   Store store_;
   std::vector<std::unique_ptr<Server>> servers_;
-  std::vector<std::unique_ptr<Host>> hosts_;
+  Machines machines_;
+  std::vector<Host*> hosts_;
   std::vector<std::thread> callers_;
   std::atomic<bool> stopped_{ false };
   std::vector<Tenant> tenants_;
   std::mutex mutex_;
-  std::vector<Run> runs_;
+  std::vector<Arrival> arrivals_;
 };
 
+int
+Run(const CaseArguments& aArguments, Record& aRecord)
+{
+  // The servers and the store go on until the process ends.
+  static TwoOwners test(aArguments, aRecord);
+  const int code = test.Execute();
+  test.StopAll();
+  return code;
+}
+
 }
 
 }
@@ -248,13 +237,5 @@
 int
 main(int aCount, char** aValues)
 {
-  const auto arguments = peridotsail::review::ReadArguments(aCount, aValues);
-  if (!arguments) {
-    return static_cast<int>(peridotsail::review::Result::CouldNotRun);
-  }
-  peridotsail::review::TwoOwners test(*arguments);
-  const int code = test.Execute();
-  test.StopAll();
-  // The threads of the stand-ins end with the process.
-  std::_Exit(code);
+  peridotsail::review::RunCase(aCount, aValues, peridotsail::review::Run);
 }
