Review: a host goes on using servers that have left

Cause: a host whose neighbour freezes asks the store 1.3 s later, takes its old view for an outage of the store, and keeps servers whose entries were removed for two more seconds, although the store was never away.

The other cases move on by one. The stand-in of a server writes its entry only when more than its sequence changes, as the pages say. No code of the product is changed.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A server answers one request with a chunk line that never ends.
+# Servers leave while the machine is frozen that reads the store for its region.
 here=$(dirname "$0")
-exec "$here/../stand/run-case.sh" EndlessAnswerCase "$here"
+exec "$here/../stand/run-case.sh" LeavingServerCase "$here"
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A planned stop while servers of another region are about to answer.
+# A server answers one request with a chunk line that never ends.
 here=$(dirname "$0")
-exec "$here/../stand/run-case.sh" StopCase "$here"
+exec "$here/../stand/run-case.sh" EndlessAnswerCase "$here"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A machine that is cut off from the store goes on granting a share of an allowance that an added machine owns.
+# A planned stop while servers of another region are about to answer.
 here=$(dirname "$0")
-exec "$here/../stand/run-case.sh" TwoOwnersCase "$here"
+exec "$here/../stand/run-case.sh" StopCase "$here"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Three callers upload bodies as large as the configuration allows.
+# A machine that is cut off from the store goes on granting a share of an allowance that an added machine owns.
 here=$(dirname "$0")
-exec "$here/../stand/run-case.sh" LargeUploadsCase "$here"
+exec "$here/../stand/run-case.sh" TwoOwnersCase "$here"
--- a/review/stand/Server.cc
+++ b/review/stand/Server.cc
@@ -33,33 +33,43 @@
   if (port_ == 0) {
     return false;
   }
-  std::thread([this] { Beat(); }).detach();
+  std::thread([this] { Register(); }).detach();
   return true;
 }
 
 void
-Server::Beat()
+Server::Register()
 {
   const Clock::time_point warmAt = Clock::now() + options_.cold_;
-  for (std::uint64_t sequence = 1;; ++sequence) {
-    const auto coldLeft =
+  std::int64_t coldLeft = 1;
+  for (std::uint64_t sequence = 1; coldLeft > 0; ++sequence) {
+    const auto left =
       std::chrono::duration_cast<Milliseconds>(warmAt - Clock::now()).count();
-    const nlohmann::json entry{
-      { "service", options_.service_ },
-      { "address", options_.ip_ + ":" + std::to_string(port_) },
-      { "zone", options_.zone_ },
-      { "version", "v1" },
-      { "slots", options_.slots_ },
-      { "state", "ready" },
-      { "coldLeftMs", std::max<std::int64_t>(0, coldLeft) },
-      { "sequence", sequence },
-      { "born", born_ }
-    };
+    coldLeft = std::max<std::int64_t>(0, left);
+    const nlohmann::json entry{ { "service", options_.service_ },
+                                { "address",
+                                  options_.ip_ + ":" + std::to_string(port_) },
+                                { "zone", options_.zone_ },
+                                { "version", "v1" },
+                                { "slots", options_.slots_ },
+                                { "state", "ready" },
+                                { "coldLeftMs", coldLeft },
+                                { "sequence", sequence },
+                                { "born", born_ } };
     store_.Put("servers/" + options_.id_, entry.dump());
-    std::this_thread::sleep_for(kBeatInterval);
+    if (coldLeft > 0) {
+      std::this_thread::sleep_for(kBeatInterval);
+    }
   }
 }
 
+void
+Server::Leave()
+{
+  record_.Add("server " + options_.id_ + " leaves, its entry is removed");
+  store_.Remove("servers/" + options_.id_);
+}
+
 std::string
 Server::SignedAnswer(const Message& aRequest, const std::string& aBody)
 {
--- a/review/stand/Server.h
+++ b/review/stand/Server.h
@@ -1,9 +1,9 @@
 #pragma once
 
-// A stand-in for an instance of a service: registers itself in the store with
-// a beat every 1.5 s, works on as many requests at a time as it has slots,
-// queues a few more and sheds the rest, and signs its answers. What it does
-// with a request can be replaced by a hook.
+// A stand-in for an instance of a service: registers itself in the store, works
+// on as many requests at a time as it has slots, queues a few more and sheds
+// the rest, and signs its answers. What it does with a request can be replaced
+// by a hook.
 
 #include "Record.h"
 #include "Store.h"
@@ -41,6 +41,9 @@
   Server(ServerOptions aOptions, Store& aStore, Record& aRecord);
   // Registers the server. Returns false if no port is free.
   bool Start(Hook aHook = nullptr);
+  // Removes the server's entry from the store, as a server does that leaves
+  // without reporting it before. It goes on serving.
+  void Leave();
   const ServerOptions& Options() const { return options_; }
   // Whether the server began to work on the request.
   bool HasRun(const std::string& aRequestId);
@@ -57,7 +60,8 @@
   bool Handle(const Socket& aSocket, const Message& aRequest);
   // Waits for a slot. Returns false if the queue is full.
   bool TakeSlot();
-  void Beat();
+  // Writes the entry whenever more than its sequence changes.
+  void Register();
 
   ServerOptions options_;
   Store& store_;
