Log what a stopping host leaves unfinished

Change: process-stopped has the time since the signal, the requests in flight and the open connections.

--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -491,7 +491,17 @@
     // If the store does not respond, the lease expires by itself.
     leaveDone.wait_for(std::chrono::milliseconds(200));
   }
-  LogEvent(Event::ProcessStopped);
+  int requests = 0;
+  std::size_t connections = 0;
+  traffic_.RunAndWait([&] {
+    requests = flow_.inFlight_;
+    connections = callers_.Connections();
+  });
+  LogEvent(Event::ProcessStopped,
+           { { "elapsed_ms",
+               ToMilliseconds(BootClock::now() - drainStartedAt_.load()) },
+             { "requests", requests },
+             { "connections", connections } });
   mainContext_.stop();
 }
 
