Wait for responses in transit at a planned stop

Cause: the process ended one second before SIGKILL whatever was in flight. Evidence: process-stopped says 15 requests in flight at 5,015 ms, and 15 callers were left without an answer; 8 of their servers had finished 4 to 44 ms before, with 55 ms of transit.

Change: DrainSchedule decides each step. Requests are waited for until 0.5 s before SIGKILL; the host then answers what is left (503, or 502 if a server may have executed it), and exits 0.2 s before SIGKILL. The registration is removed beside that. Works because the wait now exceeds the transit from any region, and because a request that is still in progress ends with an answer.

Ruled out: answers discarded by the close, servers that were too slow (see docs/incidents/planned-stop.md).

--- a/src/gateway/CallerConnection.cc
+++ b/src/gateway/CallerConnection.cc
@@ -114,6 +114,20 @@
   }
 }
 
+void
+CallerConnection::AnswerRest()
+{
+  readClosed_ = true;
+  // An answer changes the pipeline.
+  const std::deque<std::shared_ptr<PendingRequest>> pipeline = pipeline_;
+  for (const auto& pending : pipeline) {
+    const auto onHostExit = pending->callbacks_.onHostExit_;
+    if (onHostExit) {
+      onHostExit();
+    }
+  }
+}
+
 void
 CallerConnection::NewParser()
 {
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -51,12 +51,14 @@
 {
   std::function<GatewayLimits()> limits_;
   // Called for each complete request. The returned onFront_ is called when the
-  // request becomes the oldest unanswered one of its connection, and
-  // onDisconnect_ when the caller disconnects. Both may be empty.
+  // request becomes the oldest unanswered one of its connection, onDisconnect_
+  // when the caller disconnects, and onHostExit_ when the request must be
+  // answered because the process is about to exit. Each may be empty.
   struct RequestCallbacks
   {
     std::function<void()> onFront_;
     std::function<void()> onDisconnect_;
+    std::function<void()> onHostExit_;
   };
   std::function<RequestCallbacks(std::shared_ptr<CallerExchange>)> onRequest_;
   // Called when a request could not be parsed; the connection has answered it
@@ -74,6 +76,9 @@
   void Start();
   // Closes the connection if no request is in progress on it.
   void CloseIfIdle();
+  // Ends all requests in progress before the process exits; further input is
+  // ignored.
+  void AnswerRest();
   bool IsIdle() const;
   bool IsClosed() const { return closed_; }
   // Enforces the header and idle timeouts. Call a few times per second.
--- a/src/gateway/CallerListener.cc
+++ b/src/gateway/CallerListener.cc
@@ -76,9 +76,18 @@
 
 void
 CallerListener::CloseIdle()
+{
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    (*it)->CloseIfIdle();
+    it = (*it)->IsClosed() ? connections_.erase(it) : std::next(it);
+  }
+}
+
+void
+CallerListener::AnswerRest()
 {
   for (const auto& connection : connections_) {
-    connection->CloseIfIdle();
+    connection->AnswerRest();
   }
 }
 
--- a/src/gateway/CallerListener.h
+++ b/src/gateway/CallerListener.h
@@ -24,7 +24,10 @@
   bool Listen(const Address& aAddress, Error& aError);
   // Stops accepting; existing connections stay open.
   void Close();
+  // Closes connections without requests and forgets those that are closed.
   void CloseIdle();
+  // Ends all requests in progress before the process exits.
+  void AnswerRest();
   std::size_t Connections() const { return connections_.size(); }
 
 private:
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -4,6 +4,7 @@
 #include "base/EventLoopThread.h"
 #include "base/Metrics.h"
 #include "gateway/CallerListener.h"
+#include "gateway/DrainSchedule.h"
 #include "gateway/HostOrder.h"
 #include "gateway/QuarantineRecords.h"
 #include "gateway/RequestFlow.h"
@@ -33,16 +34,10 @@
 constexpr Duration kLookupTtl = std::chrono::seconds(2);
 // The maximum number of addresses in a list of hosts.
 constexpr std::size_t kMaxLookupHosts = 64;
-// New connections are accepted for this fraction of the grace time after
-// SIGTERM, because callers still use cached lists of hosts.
-constexpr double kAcceptFraction = 0.6;
-// For this time after SIGTERM all requests are accepted, since only few of them
-// last until the end of the grace time. Later ones are accepted only if their
-// deadline lies before it, however long their server takes.
-constexpr Duration kAcceptAllTime = std::chrono::milliseconds(3000);
-// Reserved for the shutdown of the process.
-constexpr Duration kExitMargin = std::chrono::milliseconds(1000);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
+// How long the end of the process waits for the removal of its registration. If
+// the store does not respond, the lease expires by itself.
+constexpr Duration kDeregisterTimeout = std::chrono::milliseconds(200);
 // File descriptors that are reserved for other uses than callers' connections.
 constexpr std::size_t kReservedDescriptors = 600;
 
@@ -74,6 +69,9 @@
   void Reload();
   void BeginDrain();
   void CheckDrain();
+  // Performs the next step of the shutdown on the traffic thread.
+  DrainStep PerformDrainStep(Duration aElapsed);
+  void BeginDeregistration();
   void Shutdown();
 
   GatewaySettings settings_;
@@ -111,6 +109,9 @@
   asio::io_context mainContext_;
   asio::signal_set signals_;
   asio::steady_timer drainTimer_;
+  DrainSchedule drain_;
+  // Set when the removal of the registration has begun; done after it.
+  std::optional<std::future<void>> deregistered_;
 };
 
 Gateway::Impl::Impl(GatewaySettings aSettings, GatewayAdapter aAdapter)
@@ -142,6 +143,7 @@
   , feed_(control_.Context(), {})
   , signals_(mainContext_, SIGTERM, SIGINT, SIGHUP)
   , drainTimer_(mainContext_)
+  , drain_(settings_.bounds_.grace_)
 {
   self_.name_ = settings_.name_;
   self_.callers_ = AddressText(settings_.callers_);
@@ -372,9 +374,7 @@
     return true;
   }
   const TimePoint since = drainStartedAt_.load();
-  const Duration grace = settings_.bounds_.grace_;
-  return BootClock::now() - since < std::min(kAcceptAllTime, grace / 2) ||
-         aDeadline <= since + grace - kExitMargin;
+  return drain_.AcceptsRequest(BootClock::now() - since, aDeadline - since);
 }
 
 HttpServer::Handler
@@ -459,19 +459,18 @@
 Gateway::Impl::CheckDrain()
 {
   const Duration elapsed = BootClock::now() - drainStartedAt_.load();
-  const Duration grace = settings_.bounds_.grace_;
-  bool idle = false;
-  if (elapsed >= FromSeconds(ToSeconds(grace) * kAcceptFraction)) {
-    traffic_.RunAndWait([this, &idle] {
-      callers_.Close();
-      callers_.CloseIdle();
-      idle = flow_.inFlight_ == 0 && callers_.Connections() == 0;
-    });
+  DrainStep step = DrainStep::Accept;
+  if (!drain_.AcceptsConnections(elapsed)) {
+    traffic_.RunAndWait(
+      [this, elapsed, &step] { step = PerformDrainStep(elapsed); });
   }
-  if (idle || elapsed >= grace - kExitMargin) {
+  if (step == DrainStep::Exit) {
     Shutdown();
     return;
   }
+  if (step == DrainStep::AnswerRest) {
+    BeginDeregistration();
+  }
   drainTimer_.expires_after(ToSteady(kDrainPollInterval));
   drainTimer_.async_wait([this](ErrorCode aError) {
     if (!aError) {
@@ -480,17 +479,41 @@
   });
 }
 
+DrainStep
+Gateway::Impl::PerformDrainStep(Duration aElapsed)
+{
+  callers_.Close();
+  callers_.CloseIdle();
+  const DrainStep step =
+    drain_.Next(aElapsed, { flow_.inFlight_, callers_.Connections() });
+  if (step == DrainStep::AnswerRest) {
+    callers_.AnswerRest();
+  }
+  return step;
+}
+
 void
-Gateway::Impl::Shutdown()
+Gateway::Impl::BeginDeregistration()
 {
+  if (deregistered_) {
+    return;
+  }
   const auto done = std::make_shared<std::promise<void>>();
-  std::future<void> leaveDone = done->get_future();
+  deregistered_ = done->get_future();
   const bool posted = control_.Post(
     [this, done] { loop_->Deregister([done] { done->set_value(); }); });
-  if (posted) {
-    // If the store does not respond, the lease expires by itself.
-    leaveDone.wait_for(std::chrono::milliseconds(200));
+  if (!posted) {
+    LogEvent(Event::RingFull, { { "ring", "control" } });
   }
+}
+
+void
+Gateway::Impl::Shutdown()
+{
+  BeginDeregistration();
+  const Duration elapsed = BootClock::now() - drainStartedAt_.load();
+  deregistered_->wait_for(
+    std::min(kDeregisterTimeout, drain_.TimeToExit(elapsed)));
   int requests = 0;
   std::size_t connections = 0;
   traffic_.RunAndWait([&] {
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -54,6 +54,7 @@
   callbacks.onDisconnect_ = [self = shared_from_this()] {
     self->OnCallerDisconnected();
   };
+  callbacks.onHostExit_ = [self = shared_from_this()] { self->OnHostExit(); };
   callbacks.onFront_ = [self = shared_from_this()] {
     self->atFront_ = true;
     self->StartIfAllowed();
@@ -572,20 +573,39 @@
   Finish(std::move(response), "");
 }
 
+bool
+RequestFlow::MayExecute() const
+{
+  return mayHaveExecuted_ || (exchange_ && exchange_->WasSent());
+}
+
 void
 RequestFlow::OnTimeout()
 {
   if (finished_) {
     return;
   }
-  const bool sent = exchange_ && exchange_->WasSent();
-  if (mayHaveExecuted_ || sent) {
+  if (MayExecute()) {
     Refuse(504, "timeout", Duration::zero());
   } else {
     Refuse(503, "timeout-before-sending", flow_.options_.retryAfter_);
   }
 }
 
+// The caller gets an answer in place of a connection that ends.
+void
+RequestFlow::OnHostExit()
+{
+  if (finished_) {
+    return;
+  }
+  if (MayExecute()) {
+    Refuse(502, "host-ends", Duration::zero());
+  } else {
+    Refuse(503, "host-ends", flow_.options_.retryAfter_);
+  }
+}
+
 void
 RequestFlow::OnCallerDisconnected()
 {
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -59,7 +59,11 @@
   void ForwardResponse(ServerResponse aResponse);
   void RespondWithFailure(const ServerExchangeResult& aResult);
   void OnTimeout();
+  void OnHostExit();
   void OnCallerDisconnected();
+  // Returns whether a backend server may have executed the request or may still
+  // execute it.
+  bool MayExecute() const;
   // Cancels the current attempt and all timers.
   void CancelWork();
   void Refuse(int aStatus, const std::string& aReason, Duration aRetryAfter);
