Log why a removed backend server is still used

Change: event 3012 server-removal-delayed with the delay, the age of the view and the time between the store's last two responses to any call of this host.

--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -47,6 +47,7 @@
   StoreCallFailed = 3009,
   ViewNeighbourFailed = 3010,
   ViewNeighbourBehind = 3011,
+  ServerRemovalDelayed = 3012,
   // 4000: peers
   PeerConnected = 4001,
   PeerDisconnected = 4002,
--- a/src/base/EventTable.cc
+++ b/src/base/EventTable.cc
@@ -115,6 +115,11 @@
     "view-neighbour-behind",
     Level::Info,
     "A neighbour that this host follows is behind; another source is asked." },
+  { Event::ServerRemovalDelayed,
+    "server-removal-delayed",
+    Level::Info,
+    "The registration of a backend server is gone; the server is used for a "
+    "while, because registrations may have expired in a store outage." },
   { Event::PeerConnected,
     "peer-connected",
     Level::Info,
--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -89,6 +89,8 @@
   // Times of the store's last failed read and of its last response to any call.
   TimePoint failedAt_ = TimePoint::min();
   TimePoint answeredAt_ = TimePoint::min();
+  // Time between the last two responses of the store to any call.
+  Duration storeSilence_{};
 
   HostRegistration registration_;
 };
@@ -147,7 +149,10 @@
 void
 ControlLoop::Impl::OnStoreAnswered(std::optional<Duration> aRecoveredAgo)
 {
+  const TimePoint before = answeredAt_;
   answeredAt_ = BootClock::now();
+  storeSilence_ =
+    before == TimePoint::min() ? Duration::zero() : answeredAt_ - before;
   if (!reachable_) {
     reachable_ = true;
     recoveredAt_ = answeredAt_ - aRecoveredAgo.value_or(Duration::zero());
@@ -487,6 +492,12 @@
       (reachable_ ? recoveredAt_ : now) + options_.reregistrationTime_;
     // Another outage does not extend the deadline.
     if (missing_.try_emplace(aId, until).second) {
+      LogEvent(Event::ServerRemovalDelayed,
+               { { "server", aId },
+                 { "delay_ms", ToMilliseconds(until - now) },
+                 { "view_age_ms", ToMilliseconds(now - confirmedAt_) },
+                 { "store_silence_ms", ToMilliseconds(storeSilence_) },
+                 { "reachable", reachable_ ? 1 : 0 } });
       After(until - now, [aId, until](Impl& aSelf) {
         aSelf.RemoveUnlessReregistered(aId, until);
       });
