Tell an outage of the store from a silent neighbour

Cause: a host whose neighbour froze took the age of its view (2,100 ms) for an outage of the store and kept removed servers for 2 s more.

A mere suspicion is not passed on. A host that is cut off alone concludes none when a neighbour confirms its view. Works because the renewals prove that the store is up, whatever the neighbour does, at no further call.

Ruled out: late news alone, the frozen host's own conclusion (see docs/incidents/servers-that-left.md).

--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -43,11 +43,8 @@
   void StartFirstRead();
   // Handles the failure of a call that was sent at aSentAt.
   void OnStoreFailed(KvStatus aStatus, TimePoint aSentAt);
-  // aRecoveredAgo is the time since the store's recovery, if a neighbour
-  // reported it.
-  void OnStoreAnswered(std::optional<Duration> aRecoveredAgo = std::nullopt);
-  // Called before changes that were read from the store are applied.
-  void DetectMissedOutage();
+  void OnStoreAnswered();
+  StoreAvailabilityOptions MakeAvailabilityOptions() const;
   RegistrationOptions MakeRegistrationOptions();
 
   void ApplyEvents(const std::vector<KvItem>& aItems);
@@ -56,7 +53,7 @@
   void ApplyInstance(const std::string& aId, const KvItem& aItem);
   void ApplyHost(const std::string& aName, const KvItem& aItem);
   void RemoveInstance(const std::string& aId);
-  bool StoreRecoveredRecently(TimePoint aNow) const;
+  void DelayRemoval(const std::string& aId, TimePoint aUntil);
   void RemoveUnlessReregistered(const std::string& aId, TimePoint aUntil);
   void Publish();
 
@@ -84,14 +81,7 @@
   // Instances that disappeared from the store around an outage, and the time
   // until which they may register again.
   std::map<std::string, TimePoint> missing_;
-  bool reachable_ = true;
-  TimePoint recoveredAt_ = TimePoint::min();
-  // Times of the store's last failed read and of its last response to any call.
-  TimePoint failedAt_ = TimePoint::min();
-  TimePoint answeredAt_ = TimePoint::min();
-  // Time between the last two responses of the store to any call.
-  Duration storeSilence_{};
-
+  StoreAvailability availability_;
   HostRegistration registration_;
 };
 
@@ -106,6 +96,7 @@
   , options_(std::move(aOptions))
   , hooks_(std::move(aHooks))
   , sources_(options_.name_, options_.region_, options_.sources_)
+  , availability_(MakeAvailabilityOptions())
   , registration_(aContext,
                   aStore,
                   codec_.hostKey_(options_.name_),
@@ -113,6 +104,15 @@
 {
 }
 
+StoreAvailabilityOptions
+ControlLoop::Impl::MakeAvailabilityOptions() const
+{
+  StoreAvailabilityOptions options;
+  options.callInterval_ = options_.registration_.renewalInterval_;
+  options.reregistrationTime_ = options_.reregistrationTime_;
+  return options;
+}
+
 RegistrationOptions
 ControlLoop::Impl::MakeRegistrationOptions()
 {
@@ -138,51 +138,19 @@
 void
 ControlLoop::Impl::OnStoreFailed(KvStatus aStatus, TimePoint aSentAt)
 {
-  failedAt_ = BootClock::now();
-  // A later call may have succeeded in the meantime.
-  if (reachable_ && aSentAt >= answeredAt_) {
-    reachable_ = false;
+  if (availability_.Failed(aSentAt, BootClock::now())) {
     LogEvent(Event::StoreUnreachable, { { "status", NameOf(aStatus) } });
   }
 }
 
 void
-ControlLoop::Impl::OnStoreAnswered(std::optional<Duration> aRecoveredAgo)
-{
-  const TimePoint before = answeredAt_;
-  answeredAt_ = BootClock::now();
-  storeSilence_ =
-    before == TimePoint::min() ? Duration::zero() : answeredAt_ - before;
-  if (!reachable_) {
-    reachable_ = true;
-    recoveredAt_ = answeredAt_ - aRecoveredAgo.value_or(Duration::zero());
-    LogEvent(Event::StoreReachable);
-  } else if (aRecoveredAgo) {
-    recoveredAt_ = std::max(recoveredAt_, answeredAt_ - *aRecoveredAgo);
-  }
-}
-
-// A host that follows neighbours may not have called the store during an
-// outage. If its view was not confirmed for a long time, assume that there was
-// one.
-void
-ControlLoop::Impl::DetectMissedOutage()
+ControlLoop::Impl::OnStoreAnswered()
 {
-  const TimePoint now = BootClock::now();
-  const bool known = confirmedAt_ != TimePoint::min();
-  if (known && now - confirmedAt_ > options_.maxNeighbourAge_ &&
-      !StoreRecoveredRecently(now)) {
-    recoveredAt_ = now;
+  if (availability_.Responded(BootClock::now())) {
+    LogEvent(Event::StoreReachable);
   }
 }
 
-bool
-ControlLoop::Impl::StoreRecoveredRecently(TimePoint aNow) const
-{
-  return recoveredAt_ != TimePoint::min() &&
-         aNow - recoveredAt_ < options_.reregistrationTime_;
-}
-
 void
 ControlLoop::Impl::StartFirstRead()
 {
@@ -239,7 +207,6 @@
 void
 ControlLoop::Impl::OnReadComplete()
 {
-  DetectMissedOutage();
   ApplyEvents(cache_.Replace(std::move(readItems_), firstRevision_));
   readItems_.clear();
   revision_ = std::max(revision_, firstRevision_);
@@ -315,7 +282,6 @@
     ReadAll();
     return;
   }
-  DetectMissedOutage();
   ApplyEvents(cache_.Add(aItems.items_, aItems.revision_));
   revision_ = std::max(revision_, aItems.revision_);
   Confirm(aSentAt, "");
@@ -377,10 +343,9 @@
   } else {
     sources_.Answered(aSource);
   }
-  // The store responded to the neighbour after its last failed call from this
-  // host.
-  if (confirmedAt > failedAt_) {
-    OnStoreAnswered(aResponse.storeRecoveredAgo_);
+  if (availability_.RespondedToNeighbour(
+        confirmedAt, aResponse.storeRecoveredAgo_, now)) {
+    LogEvent(Event::StoreReachable);
   }
   ApplyEvents(cache_.Add(aResponse.events_, aResponse.revision_));
   revision_ = aResponse.revision_;
@@ -487,21 +452,8 @@
   if (view_.instances_.count(aId) == 0) {
     return;
   }
-  if (!reachable_ || StoreRecoveredRecently(now)) {
-    const TimePoint until =
-      (reachable_ ? recoveredAt_ : now) + options_.reregistrationTime_;
-    // Another outage does not extend the deadline.
-    if (missing_.try_emplace(aId, until).second) {
-      LogEvent(Event::ServerRemovalDelayed,
-               { { "server", aId },
-                 { "delay_ms", ToMilliseconds(until - now) },
-                 { "view_age_ms", ToMilliseconds(now - confirmedAt_) },
-                 { "store_silence_ms", ToMilliseconds(storeSilence_) },
-                 { "reachable", reachable_ ? 1 : 0 } });
-      After(until - now, [aId, until](Impl& aSelf) {
-        aSelf.RemoveUnlessReregistered(aId, until);
-      });
-    }
+  if (const auto until = availability_.KeepUntil(now)) {
+    DelayRemoval(aId, *until);
     return;
   }
   view_.instances_.erase(aId);
@@ -509,6 +461,26 @@
   changed_ = true;
 }
 
+void
+ControlLoop::Impl::DelayRemoval(const std::string& aId, TimePoint aUntil)
+{
+  // Another outage does not extend the deadline.
+  if (!missing_.try_emplace(aId, aUntil).second) {
+    return;
+  }
+  const TimePoint now = BootClock::now();
+  LogEvent(
+    Event::ServerRemovalDelayed,
+    { { "server", aId },
+      { "delay_ms", ToMilliseconds(aUntil - now) },
+      { "view_age_ms", ToMilliseconds(now - confirmedAt_) },
+      { "store_silence_ms", ToMilliseconds(availability_.LastSilence()) },
+      { "reachable", availability_.IsReachable() ? 1 : 0 } });
+  After(aUntil - now, [aId, aUntil](Impl& aSelf) {
+    aSelf.RemoveUnlessReregistered(aId, aUntil);
+  });
+}
+
 // Removes a backend server that did not register again after the store's
 // recovery.
 void
@@ -591,7 +563,8 @@
   }
   hooks_.onView_(snapshot_, confirmedAt_);
   if (hooks_.onConfirmed_) {
-    hooks_.onConfirmed_(cache_, { confirmedAt_, confirmedBy_, recoveredAt_ });
+    hooks_.onConfirmed_(
+      cache_, { confirmedAt_, confirmedBy_, availability_.RecoveredAt() });
   }
 }
 
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -24,6 +24,7 @@
 #include "gateway/FleetTypes.h"
 #include "gateway/HostRegistration.h"
 #include "gateway/KvStore.h"
+#include "gateway/StoreAvailability.h"
 #include "gateway/ViewCache.h"
 #include "gateway/ViewMessages.h"
 #include "gateway/ViewSources.h"
