Fit the waits of the control loop to the bounds of the deployment

Cause: the time after which a host learns of a change while two neighbours in a row are silent is the sum of waits that were set for bounds of 2,500 ms.

Measured: gateway_test "A change is noticed within the bound although neighbours are silent" passes at 1,000 to 5,000 ms; platform_test settings case passes. No deployment with smaller bounds was played.

--- /dev/null
+++ b/src/gateway/ControlTiming.h
@@ -0,0 +1,22 @@
+#pragma once
+
+// Relates the timing of a ControlLoop to the bound within which a change in the
+// store must take effect at each host.
+
+#include "gateway/ControlLoop.h"
+
+namespace peridotsail {
+
+// Returns the longest time after which a host learns of a change if the store
+// responds and two neighbours in a row do not. aPollTimeout is the time after
+// which a poll of a neighbour fails, in addition to its wait.
+Duration
+LongestNotice(const ControlOptions& aOptions, Duration aPollTimeout);
+
+// Shortens the waits of aOptions if LongestNotice exceeds aBound. A bound below
+// the latencies of the network cannot be met; the waits are then as short as
+// kMinTimingScale allows.
+void
+FitToBound(ControlOptions& aOptions, Duration aPollTimeout, Duration aBound);
+
+}
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -4,6 +4,7 @@
 #include "base/EventLoopThread.h"
 #include "base/Metrics.h"
 #include "gateway/CallerListener.h"
+#include "gateway/ControlTiming.h"
 #include "gateway/DrainSchedule.h"
 #include "gateway/HostOrder.h"
 #include "gateway/QuarantineRecords.h"
@@ -255,6 +256,7 @@
   options.region_ = settings_.region_;
   options.registration_.leaseTtl_ =
     std::max(options.registration_.leaseTtl_, settings_.bounds_.minLeaseTtl_);
+  FitToBound(options, ViewFeedOptions().timeout_, settings_.bounds_.change_);
   return options;
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -32,6 +32,8 @@
   // A withdrawn key must not be accepted for longer than this after the
   // withdrawal.
   Duration keyWithdrawal_ = std::chrono::seconds(5);
+  // A change in the store must take effect at each host within this time.
+  Duration change_ = std::chrono::milliseconds(2500);
   // The time from SIGTERM to SIGKILL.
   Duration grace_ = std::chrono::seconds(6);
   double retryRatio_ = 0.2;
