Limit the bytes of a message that are not its body

Cause: the parser limits heads and bodies only. Chunk lines, extensions and trailers were buffered without a bound, and interim responses and responses to other requests came without a count. Evidence: of responses without end, those of head and body were aborted (502), the other five ended by the deadline (504).

Change: FramingLimit bounds what is not body for servers' responses and callers' requests; unparsed bytes count toward the limit of all responses; the buffers of the HTTP client and server and of serve's proxy are bounded. Works because the bound applies where the bytes are received, whatever they belong to. A caller with an endless chunk line gets 400 at once, 408 at the idle timeout before.

--- a/src/gateway/CallerConnection.cc
+++ b/src/gateway/CallerConnection.cc
@@ -9,8 +9,9 @@
 constexpr std::size_t kReadBytes = 16 << 10;
 // Requests of one connection that may be in progress at the same time.
 constexpr std::size_t kMaxPipelined = 16;
-// Bytes of pipelined requests that are buffered while others are in progress.
-constexpr std::size_t kMaxBufferedBytes = 64 << 10;
+// Bytes of pipelined requests that are buffered while others are in progress,
+// in addition to a request head.
+constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
 // How long the socket stays open after the last response, so that the caller
 // can read it.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
@@ -136,10 +137,17 @@
   parser_->eager(true);
   parser_->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes_));
   parser_->body_limit(limits.maxBodyBytes_);
+  framing_ = {};
   headerSince_.reset();
   continueSent_ = false;
 }
 
+std::size_t
+CallerConnection::MaxBufferedBytes() const
+{
+  return kMaxPipelinedBytes + hooks_.limits_().maxHeaderBytes_;
+}
+
 void
 CallerConnection::CheckTimeouts(TimePoint aNow)
 {
@@ -172,7 +180,7 @@
 void
 CallerConnection::Read()
 {
-  if (reading_ || closed_ || buffer_.size() >= kMaxBufferedBytes) {
+  if (reading_ || closed_ || buffer_.size() >= MaxBufferedBytes()) {
     return;
   }
   reading_ = true;
@@ -231,7 +239,9 @@
   ErrorCode error;
   const std::size_t consumed = parser_->put(buffer_.data(), error);
   buffer_.consume(consumed);
+  framing_.OnParsed(consumed);
   if (error == http::error::need_more) {
+    RejectLongFraming();
     return false;
   }
   if (error == http::error::header_limit) {
@@ -250,10 +260,27 @@
     OnRequest();
     return true;
   }
+  if (RejectLongFraming()) {
+    return false;
+  }
   SendContinue();
   return consumed > 0 && buffer_.size() > 0;
 }
 
+bool
+CallerConnection::RejectLongFraming()
+{
+  const std::size_t body = parser_->get().body().size();
+  // Without a bound here, a chunk line that fills the buffer would never be
+  // parsed and would wait for the idle timeout.
+  const bool tooLong = buffer_.size() >= MaxBufferedBytes() ||
+                       framing_.IsExceeded(buffer_.size(), body);
+  if (tooLong) {
+    Reject(400, "request framing exceeds the limit");
+  }
+  return tooLong;
+}
+
 void
 CallerConnection::SendContinue()
 {
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -7,6 +7,7 @@
 
 #include "gateway/RoutingTable.h"
 #include "http/BeastTypes.h"
+#include "http/FramingLimit.h"
 
 #include <deque>
 #include <functional>
@@ -92,6 +93,10 @@
   void OnRead(const ErrorCode& aError);
   void ParseBuffered();
   bool ParseOne();
+  // Rejects the request and returns true if its chunk lines, their extensions
+  // or its trailers are too long.
+  bool RejectLongFraming();
+  std::size_t MaxBufferedBytes() const;
   void NewParser();
   void SendContinue();
   void OnRequest();
@@ -107,6 +112,8 @@
   const CallerHooks& hooks_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  // Of the current request.
+  FramingLimit framing_;
   std::deque<std::shared_ptr<PendingRequest>> pipeline_;
   std::string outgoing_;
   TimePoint lastActivity_;
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -46,6 +46,8 @@
 // The largest header and body of a response.
 constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
 constexpr std::uint64_t kMaxBodyBytes = 16 << 20;
+// Interim and late responses that may precede the response to a request.
+constexpr int kMaxSkippedMessages = 32;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
@@ -210,22 +212,20 @@
     ErrorCode error;
     const std::size_t consumed = parser_->put(buffer.data(), error);
     buffer.consume(consumed);
-    if (error == http::error::need_more) {
-      return true;
-    }
-    if (error) {
+    framing_.OnParsed(consumed);
+    if (error && error != http::error::need_more) {
       Finish(ExchangeOutcome::InvalidResponse, error.message());
       return false;
     }
-    if (!UpdateBufferedBytes()) {
-      Finish(ExchangeOutcome::InvalidResponse,
-             "buffered responses exceed the limit");
+    std::string reason;
+    if (!UpdateBufferedBytes(reason)) {
+      Finish(ExchangeOutcome::InvalidResponse, std::move(reason));
       return false;
     }
     if (parser_->is_done() && !OnCompleteResponse()) {
       return false;
     }
-    if (consumed == 0) {
+    if (error || consumed == 0) {
       return true;
     }
   }
@@ -239,13 +239,11 @@
   const auto& message = parser_->get();
   const bool interim = message.result_int() / 100 == 1;
   if (interim) {
-    NewParser();
-    return true;
+    return SkipMessage();
   }
   if (!IsResponseToRequest(message)) {
     unrelatedResponse_ = true;
-    NewParser();
-    return true;
+    return SkipMessage();
   }
   UpdateLoad(message);
   UpdateState(message);
@@ -253,6 +251,19 @@
   return false;
 }
 
+bool
+ServerExchange::SkipMessage()
+{
+  ++skippedMessages_;
+  if (skippedMessages_ > kMaxSkippedMessages) {
+    Finish(ExchangeOutcome::InvalidResponse, "too many other responses");
+    return false;
+  }
+  framing_.OnMessage(parser_->get().body().size());
+  NewParser();
+  return true;
+}
+
 // A late response to an earlier request carries that request's id.
 bool
 ServerExchange::IsResponseToRequest(const Parser::value_type& aMessage)
@@ -340,12 +351,22 @@
 }
 
 bool
-ServerExchange::UpdateBufferedBytes()
+ServerExchange::UpdateBufferedBytes(std::string& aReason)
 {
-  const std::size_t buffered = parser_->get().body().size();
+  const std::size_t unparsed = connection_->buffer_.size();
+  const std::size_t body = parser_->get().body().size();
+  const std::size_t buffered = unparsed + body;
   const bool fits = connections_.UpdateBufferedBytes(bufferedBytes_, buffered);
   bufferedBytes_ = buffered;
-  return fits;
+  if (!fits) {
+    aReason = "buffered responses exceed the limit";
+    return false;
+  }
+  if (framing_.IsExceeded(unparsed, body)) {
+    aReason = "response framing exceeds the limit";
+    return false;
+  }
+  return true;
 }
 
 void
--- a/src/gateway/ServerExchange.h
+++ b/src/gateway/ServerExchange.h
@@ -8,6 +8,7 @@
 
 #include "gateway/GatewayHeaders.h"
 #include "gateway/ServerConnections.h"
+#include "http/FramingLimit.h"
 
 #include <functional>
 #include <memory>
@@ -93,9 +94,12 @@
   void UpdateLoad(const Parser::value_type& aMessage);
   // Updates whether the server is shutting down or asked for a pause.
   void UpdateState(const Parser::value_type& aMessage);
-  // Accounts for the buffered bytes of the response. Returns false if the limit
-  // is exceeded.
-  bool UpdateBufferedBytes();
+  // Accounts for the buffered bytes of the response. Returns false and sets
+  // aReason if a limit is exceeded.
+  bool UpdateBufferedBytes(std::string& aReason);
+  // Skips an interim response or one to another request. Returns false if there
+  // were too many.
+  bool SkipMessage();
   void ReturnConnection(const Parser::value_type& aMessage);
   void Finish(ExchangeOutcome aOutcome, std::string aReason);
   void NewParser();
@@ -108,6 +112,8 @@
   ServerConnectionPtr connection_;
   asio::steady_timer connectTimer_;
   std::optional<Parser> parser_;
+  FramingLimit framing_;
+  int skippedMessages_ = 0;
   ServerExchangeResult result_;
   // The estimated queue length when the request was sent, and that time.
   double queueLengthAtStart_ = 0;
--- a/src/http/BeastTypes.h
+++ b/src/http/BeastTypes.h
@@ -21,6 +21,10 @@
 using tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+// The largest unparsed part of a message: a head, a chunk line or trailers.
+// Buffers with this maximum make read operations fail beyond it.
+constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
+
 inline std::string_view
 ToView(beast::string_view aText)
 {
--- a/src/http/HttpClient.cc
+++ b/src/http/HttpClient.cc
@@ -198,7 +198,7 @@
   Callback callback_;
   std::unique_ptr<beast::tcp_stream> stream_;
   bool reused_ = false;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kMaxUnparsedBytes };
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
@@ -331,7 +331,7 @@
   Duration idleTimeout_;
   HttpStreamHooks hooks_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kMaxUnparsedBytes };
   http::response_parser<http::buffer_body> parser_;
   std::array<char, 16 << 10> chunk_{};
   bool closed_ = false;
--- a/src/http/HttpServer.cc
+++ b/src/http/HttpServer.cc
@@ -56,7 +56,7 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<HttpServer::Impl> server_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kMaxUnparsedBytes };
   std::optional<http::request_parser<http::string_body>> parser_;
   bool keepAlive_ = false;
   bool closed_ = false;
--- a/src/http/testing/HttpTest.cc
+++ b/src/http/testing/HttpTest.cc
@@ -1,6 +1,8 @@
+#include "http/FramingLimit.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -163,3 +165,88 @@
   CHECK(server.SendRaw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
           .rfind("HTTP/1.1 200", 0) == 0);
 }
+
+// Guards against a server whose response never ends, for example a store in
+// trouble: the client's memory would grow until the timeout of the call.
+TEST_CASE("The client gives up responses with endless framing")
+{
+  constexpr std::size_t kPieceBytes = 64 << 10;
+  // More than the client may keep and the kernel buffers together.
+  constexpr std::size_t kMaxSentBytes = 64 << 20;
+  const std::string chunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& begin : { std::string("HTTP/1.1 200 OK\r\nX: "),
+                                    chunkedHead + "400;x=",
+                                    chunkedHead + "0\r\nX: " }) {
+    INFO(begin);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(
+      context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    std::size_t sent = 0;
+    std::thread server([&] {
+      boost::asio::ip::tcp::socket socket(context);
+      boost::system::error_code error;
+      acceptor.accept(socket);
+      boost::asio::write(socket, boost::asio::buffer(begin), error);
+      const std::string piece(kPieceBytes, 'x');
+      while (!error && sent < kMaxSentBytes) {
+        boost::asio::write(socket, boost::asio::buffer(piece), error);
+        sent += kPieceBytes;
+      }
+    });
+    HttpClient client(context, {});
+    bool failed = false;
+    client.Call({ "127.0.0.1", acceptor.local_endpoint().port() },
+                { "GET", "/", {}, "" },
+                std::chrono::seconds(20),
+                [&](auto aResponse, const Error&) { failed = !aResponse; });
+    context.run();
+    server.join();
+    CHECK(failed);
+    CHECK(sent < kMaxSentBytes);
+  }
+}
+
+// Guards against chunk lines and trailers of a request that grow without bound.
+TEST_CASE("The server refuses requests with endless framing")
+{
+  constexpr std::size_t kBufferBytes = 128 << 10;
+  EchoServer server;
+  for (const char* begin : { "400;x=", "0\r\nX: " }) {
+    INFO(begin);
+    const std::string head =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    // As much as the server reads, so that nothing is left that would reset the
+    // connection.
+    const std::string framing =
+      begin + std::string(kBufferBytes - std::string(begin).size(), 'x');
+    CHECK(server.SendRaw(head + framing).rfind("HTTP/1.1 400", 0) == 0);
+  }
+}
+
+// Guards against a limit that refuses valid messages or misses endless ones.
+TEST_CASE("Framing is limited in proportion to the body")
+{
+  struct Row
+  {
+    const char* name_;
+    std::size_t parsed_;
+    std::size_t unparsed_;
+    std::size_t body_;
+    bool exceeded_;
+  };
+  const Row rows[] = {
+    { "a large head", 64 << 10, 0, 0, false },
+    { "an endless head", 0, 200 << 10, 0, true },
+    { "a body in one piece", 16 << 20, 0, 16 << 20, false },
+    { "chunks of one byte", 6 << 20, 0, 1 << 20, false },
+    { "a long extension at each byte", 60000 * 4, 0, 4, true },
+    { "an endless chunk line after a body", 1 << 20, 10 << 20, 1 << 20, true },
+  };
+  for (const Row& row : rows) {
+    INFO(row.name_);
+    detail::FramingLimit limit;
+    limit.OnParsed(row.parsed_);
+    CHECK(limit.IsExceeded(row.unparsed_, row.body_) == row.exceeded_);
+  }
+}
--- a/src/proxy/BackendConnections.h
+++ b/src/proxy/BackendConnections.h
@@ -24,7 +24,7 @@
   // Identifies the connection in ConnectionHealth.
   std::uint64_t id_ = 0;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kMaxUnparsedBytes };
   std::string address_;
   TimePoint openedAt_;
   TimePoint idleSince_;
--- a/src/proxy/BackendExchange.cc
+++ b/src/proxy/BackendExchange.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+// Interim responses that may precede a response.
+constexpr int kMaxInterimResponses = 32;
 
 // Interval for checking the deadline and progress.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
@@ -301,6 +303,11 @@
     return;
   }
   if (parser_->get().result_int() == 100) {
+    ++interimResponses_;
+    if (interimResponses_ > kMaxInterimResponses) {
+      FailConnection(make_error_code(http::error::bad_status));
+      return;
+    }
     ReadHead();
     return;
   }
--- a/src/proxy/BackendExchange.h
+++ b/src/proxy/BackendExchange.h
@@ -93,6 +93,7 @@
   std::array<char, 32 << 10> readBuffer_{};
   std::uint64_t bodyBytes_ = 0;
   bool headReceived_ = false;
+  int interimResponses_ = 0;
   bool requestSent_ = false;
   bool finished_ = false;
 };
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -71,7 +71,7 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<CallerServer::Impl> server_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{ kMaxUnparsedBytes };
   std::optional<RequestParser> parser_;
   RequestHead head_;
   Response response_;
