Let a new owner of a share wait for the former one

Cause: a host may act on its view for 3.5 s, but a new owner of a share waited 0.8 s, "the longest time for which views differ". Both granted its tokens in between. By reading, an old view also lent tokens.

A new owner asks the registered former owners (OwnerHistory) with a request for no tokens and grants nothing until they deny to own the share, or until their views must be too old. Hosts with an old view lend nothing. Works because views do not go back: who denies does not grant by an older view later.

--- a/src/gateway/AllowanceChannel.cc
+++ b/src/gateway/AllowanceChannel.cc
@@ -62,6 +62,13 @@
   gate_.ReturnToken(aCustomer, BootClock::now());
 }
 
+void
+AllowanceChannel::OnOwnersChanged()
+{
+  gate_.OnTimer(BootClock::now());
+  ScheduleTimer();
+}
+
 void
 AllowanceChannel::ScheduleTimer()
 {
@@ -105,7 +112,8 @@
     return gate_.Answer(*take, aNow);
   }
   if (const auto* loan = std::get_if<LoanRequest>(&aMessage)) {
-    return loans_.Answer(*loan, version_(), aNow);
+    return gate_.MayGrant(aNow) ? loans_.Answer(*loan, version_(), aNow)
+                                : LoanReply{ loan->id_, 0 };
   }
   if (const auto* reply = std::get_if<TakeReply>(&aMessage)) {
     gate_.Accept(*reply, aNow);
--- a/src/gateway/AllowanceChannel.h
+++ b/src/gateway/AllowanceChannel.h
@@ -34,6 +34,8 @@
              AllowanceGate::Callback aCallback);
   // Returns the token of a request that was admitted but not executed.
   void ReturnToken(const std::string& aCustomer);
+  // Call after the owners of the shares or the configuration have changed.
+  void OnOwnersChanged();
 
 private:
   GateHooks MakeHooks(std::function<Duration(TimePoint)> aViewAge);
--- a/src/gateway/AllowanceGate.cc
+++ b/src/gateway/AllowanceGate.cc
@@ -14,6 +14,9 @@
   std::string_view name_;
 };
 
+// Unanswered handover requests are dropped when there are more.
+constexpr std::size_t kMaxHandoverRequests = 4096;
+
 constexpr std::array<ResultName, 3> kResultNames{ {
   { AdmissionResult::Admitted, "admitted" },
   { AdmissionResult::UsedUp, "used-up" },
@@ -178,16 +181,22 @@
   return true;
 }
 
+bool
+AllowanceGate::MayGrant(TimePoint aNow) const
+{
+  return hooks_.viewAge_(aNow) <= options_.maxViewAge_;
+}
+
 TokenGrant
 AllowanceGate::TakeLocally(const ShareKey& aShare,
                            double aTokens,
                            TimePoint aNow)
 {
-  if (hooks_.viewAge_(aNow) > options_.maxViewAge_) {
+  if (!MayGrant(aNow)) {
     return {};
   }
   const TokenGrant grant = allowances_.Take(aShare, aTokens, aNow);
-  if (grant.owned_ && hooks_.onTaken_) {
+  if (grant.owned_ && aTokens > 0 && hooks_.onTaken_) {
     hooks_.onTaken_(aShare);
   }
   return grant;
@@ -257,6 +266,17 @@
 void
 AllowanceGate::Accept(const TakeReply& aReply, TimePoint aNow)
 {
+  const auto handover = handovers_.find(aReply.id_);
+  if (handover != handovers_.end()) {
+    // Views do not go back, so a host that does not own the share in its
+    // present view does not own it again by an older one.
+    if (!aReply.owned_) {
+      allowances_.ConfirmHandover(
+        handover->second.share_, handover->second.former_, aNow);
+    }
+    handovers_.erase(handover);
+    return;
+  }
   const auto found = pending_.find(aReply.id_);
   if (found == pending_.end()) {
     return;
@@ -278,9 +298,31 @@
   Continue(request.batch_, aNow);
 }
 
+void
+AllowanceGate::RequestHandovers(TimePoint aNow)
+{
+  if (!allowances_.HasPendingHandovers()) {
+    handovers_.clear();
+    return;
+  }
+  if (aNow < nextHandoverAt_) {
+    return;
+  }
+  nextHandoverAt_ = aNow + options_.handoverInterval_;
+  if (handovers_.size() > kMaxHandoverRequests) {
+    handovers_.clear();
+  }
+  for (const PendingHandover& pending : allowances_.PendingHandovers(aNow)) {
+    const std::uint64_t id = random_();
+    handovers_[id] = { pending.share_, pending.former_.name_ };
+    hooks_.send_(pending.former_.address_, { id, pending.share_, 0 });
+  }
+}
+
 void
 AllowanceGate::OnTimer(TimePoint aNow)
 {
+  RequestHandovers(aNow);
   std::vector<BatchPtr> timedOut;
   for (auto it = pending_.begin(); it != pending_.end();) {
     PendingRequest& request = it->second;
@@ -303,6 +345,9 @@
 AllowanceGate::NextTimeout() const
 {
   std::optional<TimePoint> next;
+  if (allowances_.HasPendingHandovers()) {
+    next = nextHandoverAt_;
+  }
   for (const auto& [id, request] : pending_) {
     const TimePoint due = request.timedOut_
                             ? request.at_ + options_.maxReplyAge_
--- a/src/gateway/AllowanceGate.h
+++ b/src/gateway/AllowanceGate.h
@@ -49,9 +49,11 @@
   // again.
   Duration maxRefusal_ = std::chrono::milliseconds(1000);
   // An owner whose view of the hosts is older than this grants nothing, since
-  // another host may own the share by then. Must be shorter than the lease of a
-  // registration.
-  Duration maxViewAge_ = std::chrono::milliseconds(3500);
+  // another host may own the share by then.
+  Duration maxViewAge_ = kMaxAllowanceViewAge;
+  // How often a former owner is asked whether it still considers itself the
+  // owner of a share.
+  Duration handoverInterval_ = std::chrono::milliseconds(100);
 };
 
 enum class AdmissionResult
@@ -101,12 +103,17 @@
              Callback aCallback);
   // Returns the token of a request that was admitted but not executed.
   void ReturnToken(const std::string& aCustomer, TimePoint aNow);
-  // Handles a token request as the owner of the share.
+  // Returns whether this host's view of the hosts is recent enough to grant or
+  // lend tokens.
+  bool MayGrant(TimePoint aNow) const;
+  // Handles a token request as the owner of the share. A request for no tokens
+  // asks whether this host still considers itself the owner.
   TakeReply Answer(const TakeRequest& aRequest, TimePoint aNow);
   void Accept(const TakeReply& aReply, TimePoint aNow);
-  // Moves on from owners that did not reply in time.
+  // Moves on from owners that did not reply in time, and asks former owners of
+  // this host's shares.
   void OnTimer(TimePoint aNow);
-  // The time at which to call OnTimer; empty when no reply is pending.
+  // The time at which to call OnTimer; empty when nothing is pending.
   std::optional<TimePoint> NextTimeout() const;
 
 private:
@@ -136,6 +143,12 @@
     TimePoint timeout_;
     bool timedOut_ = false;
   };
+  // A former owner was asked whether it still owns the share.
+  struct HandoverRequest
+  {
+    ShareKey share_;
+    std::string former_;
+  };
   struct Customer
   {
     double spare_ = 0;
@@ -160,6 +173,7 @@
   TokenGrant TakeLocally(const ShareKey& aShare,
                          double aTokens,
                          TimePoint aNow);
+  void RequestHandovers(TimePoint aNow);
   void OnGrant(Batch& aBatch, const TokenGrant& aGrant, TimePoint aNow);
   void AdmitWaiting(Batch& aBatch, TimePoint aNow);
   void Finish(Batch& aBatch, TimePoint aNow);
@@ -175,6 +189,8 @@
   std::mt19937_64 random_;
   std::unordered_map<std::string, Customer> customers_;
   std::map<std::uint64_t, PendingRequest> pending_;
+  std::map<std::uint64_t, HandoverRequest> handovers_;
+  TimePoint nextHandoverAt_ = TimePoint::min();
   // By host name.
   std::unordered_map<std::string, TimePoint> unresponsiveUntil_;
 };
--- a/src/gateway/AllowanceOwners.cc
+++ b/src/gateway/AllowanceOwners.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-using Candidates = std::vector<AllowanceOwner>;
+using Candidates = AllowanceOwners::Candidates;
 
 // Addresses of former hosts are kept; the set is rebuilt when it grows beyond
 // this.
@@ -58,6 +58,10 @@
   if (addresses_.size() > kMaxAddresses) {
     addresses_.clear();
   }
+  registered_.clear();
+  for (const auto& [name, host] : aHosts) {
+    registered_.insert(name);
+  }
   Candidates active;
   Candidates all;
   std::vector<Candidates> candidates(regions_.size());
@@ -100,11 +104,19 @@
 AllowanceOwners::PreferredHost(std::size_t aShare,
                                const std::string& aKey,
                                std::uint64_t aSeed) const
+{
+  return Preferred(candidates_[aShare], aKey, aSeed);
+}
+
+const AllowanceOwner*
+AllowanceOwners::Preferred(const Candidates& aCandidates,
+                           const std::string& aKey,
+                           std::uint64_t aSeed)
 {
   const std::uint64_t key = StableHash(aKey, aSeed);
   const AllowanceOwner* best = nullptr;
   std::uint64_t bestScore = 0;
-  for (const AllowanceOwner& owner : candidates_[aShare]) {
+  for (const AllowanceOwner& owner : aCandidates) {
     const std::uint64_t score = MixHash(key ^ owner.hash_);
     if (best == nullptr || score > bestScore) {
       best = &owner;
--- a/src/gateway/AllowanceOwners.h
+++ b/src/gateway/AllowanceOwners.h
@@ -52,6 +52,8 @@
 class AllowanceOwners
 {
 public:
+  using Candidates = std::vector<AllowanceOwner>;
+
   // aRegions maps each failure domain to its region.
   AllowanceOwners(const std::map<std::string, std::string>& aRegions,
                   const std::string& aRegion,
@@ -69,15 +71,27 @@
   bool OwnedHere(const ShareKey& aShare);
   // The hosts that can own a share: the non-draining hosts of its region, or
   // the fallback described above.
-  const std::vector<AllowanceOwner>& CandidatesFor(std::size_t aShare) const
+  const Candidates& CandidatesFor(std::size_t aShare) const
   {
     return candidates_[aShare];
   }
+  // The same for all shares.
+  const std::vector<Candidates>& AllCandidates() const { return candidates_; }
+  // The first of the candidates in the rendezvous order for a key. Null if
+  // there are none. Valid as long as aCandidates.
+  static const AllowanceOwner* Preferred(const Candidates& aCandidates,
+                                         const std::string& aKey,
+                                         std::uint64_t aSeed);
   // The first of these hosts in the rendezvous order for a key. Null if no host
   // is known. Valid until the next SetHosts.
   const AllowanceOwner* PreferredHost(std::size_t aShare,
                                       const std::string& aKey,
                                       std::uint64_t aSeed) const;
+  // Returns true if the host is registered, draining or not.
+  bool IsRegistered(const std::string& aName) const
+  {
+    return registered_.count(aName) > 0;
+  }
   // Returns true if any host registered since this process started has this
   // datagram address. Former hosts count too: a host that cannot reach the
   // store loses its registration but continues to serve callers.
@@ -91,7 +105,8 @@
   std::vector<std::string> regions_;
   std::size_t localShare_ = 0;
   // The hosts that can own each share.
-  std::vector<std::vector<AllowanceOwner>> candidates_;
+  std::vector<Candidates> candidates_;
+  std::unordered_set<std::string> registered_;
   std::unordered_set<std::string> addresses_;
   // Cache of owners by customer, one per share; cleared when the hosts change.
   std::unordered_map<std::string, std::vector<const AllowanceOwner*>> owners_;
--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -9,6 +9,7 @@
                                        AllowanceOwners& aOwners)
   : options_(aOptions)
   , owners_(aOwners)
+  , history_(aOptions.maxViewAge_)
 {
 }
 
@@ -30,6 +31,7 @@
 void
 CustomerAllowances::Apply(const RoutingTable& aTable, TimePoint aNow)
 {
+  history_.Record(owners_, aNow);
   limits_.clear();
   for (const GatewayCustomer& customer : aTable.Customers()) {
     if (customer.ratePerSecond_ > 0) {
@@ -38,6 +40,9 @@
   }
   for (auto it = accounts_.begin(); it != accounts_.end();) {
     const bool limited = limits_.count(it->first.customer_) > 0;
+    if (!limited) {
+      waiting_.erase(it->first);
+    }
     it = limited ? std::next(it) : accounts_.erase(it);
   }
   for (const auto& [customer, limits] : limits_) {
@@ -47,34 +52,132 @@
       const auto found = accounts_.find(key);
       if (owned) {
         UpdateBucket(
-          accounts_.try_emplace(key, aNow).first->second, limits, aNow);
+          key, accounts_.try_emplace(key, aNow).first->second, limits, aNow);
       } else if (found != accounts_.end() && found->second.owned_) {
-        found->second.owned_ = false;
-        found->second.bucket_.SetLimits(0, limits.depth_, aNow);
+        EndOwnership(key, found->second, limits, aNow);
       }
     }
   }
 }
 
 void
-CustomerAllowances::UpdateBucket(Account& aAccount,
+CustomerAllowances::BeginOwnership(const ShareKey& aShare,
+                                   Account& aAccount,
+                                   const Limits& aLimits,
+                                   TimePoint aNow)
+{
+  aAccount.owned_ = true;
+  aAccount.bucket_.SetLimits(0, aLimits.depth_, aNow);
+  for (const FormerOwner& former : history_.FormerOwners(aShare, owners_)) {
+    if (former.registered_) {
+      aAccount.formerOwners_.push_back(former);
+    }
+  }
+  if (aAccount.formerOwners_.empty()) {
+    aAccount.refillFrom_ = aNow + options_.handoverDelay_;
+    AddInitialTokens(aAccount, aLimits, aNow);
+    return;
+  }
+  aAccount.opensAt_ = aNow + options_.maxViewAge_;
+  aAccount.refillFrom_ = *aAccount.opensAt_;
+  waiting_.insert(aShare);
+}
+
+void
+CustomerAllowances::EndOwnership(const ShareKey& aShare,
+                                 Account& aAccount,
+                                 const Limits& aLimits,
+                                 TimePoint aNow)
+{
+  aAccount.owned_ = false;
+  aAccount.opensAt_.reset();
+  aAccount.formerOwners_.clear();
+  aAccount.bucket_.SetLimits(0, aLimits.depth_, aNow);
+  waiting_.erase(aShare);
+}
+
+void
+CustomerAllowances::Open(const ShareKey& aShare,
+                         Account& aAccount,
+                         const Limits& aLimits,
+                         TimePoint aNow)
+{
+  // The initial tokens are those of the first refill.
+  aAccount.refillFrom_ =
+    aAccount.fresh_ ? aNow + options_.initialTokens_ : aNow;
+  aAccount.opensAt_.reset();
+  aAccount.formerOwners_.clear();
+  waiting_.erase(aShare);
+  AddInitialTokens(aAccount, aLimits, aNow);
+}
+
+void
+CustomerAllowances::AddInitialTokens(Account& aAccount,
+                                     const Limits& aLimits,
+                                     TimePoint aNow) const
+{
+  if (aAccount.fresh_) {
+    aAccount.fresh_ = false;
+    aAccount.bucket_.AddTokens(
+      aLimits.refill_ * ToSeconds(options_.initialTokens_), aNow);
+  }
+}
+
+void
+CustomerAllowances::UpdateBucket(const ShareKey& aShare,
+                                 Account& aAccount,
                                  const Limits& aLimits,
                                  TimePoint aNow)
 {
-  TokenBucket& bucket = aAccount.bucket_;
   if (!aAccount.owned_) {
-    aAccount.owned_ = true;
-    aAccount.refillFrom_ = aNow + options_.handoverDelay_;
-    const bool first = bucket.Capacity() == 0;
-    bucket.SetLimits(0, aLimits.depth_, aNow);
-    if (first) {
-      bucket.AddTokens(aLimits.refill_ * ToSeconds(options_.initialTokens_),
-                       aNow);
-    }
-  } else if (aNow >= aAccount.refillFrom_) {
+    BeginOwnership(aShare, aAccount, aLimits, aNow);
+  }
+  if (aAccount.opensAt_ && aNow >= *aAccount.opensAt_) {
+    Open(aShare, aAccount, aLimits, *aAccount.opensAt_);
+  }
+  if (!aAccount.opensAt_ && aNow >= aAccount.refillFrom_) {
     // Refill from refillFrom_ on, however late the first call after it is.
-    bucket.SetLimits(aLimits.refill_, aLimits.depth_, aAccount.refillFrom_);
-    bucket.Advance(aNow);
+    aAccount.bucket_.SetLimits(
+      aLimits.refill_, aLimits.depth_, aAccount.refillFrom_);
+    aAccount.bucket_.Advance(aNow);
+  }
+}
+
+std::vector<PendingHandover>
+CustomerAllowances::PendingHandovers(TimePoint aNow)
+{
+  std::vector<PendingHandover> pending;
+  // Shares whose former owners must have stopped leave the set.
+  const std::set<ShareKey> waiting = waiting_;
+  for (const ShareKey& share : waiting) {
+    if (FindOpen(share, aNow) != nullptr) {
+      continue;
+    }
+    for (const FormerOwner& former : accounts_.at(share).formerOwners_) {
+      pending.push_back({ share, former });
+    }
+  }
+  return pending;
+}
+
+void
+CustomerAllowances::ConfirmHandover(const ShareKey& aShare,
+                                    const std::string& aFormerOwner,
+                                    TimePoint aNow)
+{
+  if (waiting_.count(aShare) == 0) {
+    return;
+  }
+  Account& account = accounts_.at(aShare);
+  std::vector<FormerOwner>& formers = account.formerOwners_;
+  formers.erase(std::remove_if(formers.begin(),
+                               formers.end(),
+                               [&](const FormerOwner& aFormer) {
+                                 return aFormer.name_ == aFormerOwner;
+                               }),
+                formers.end());
+  if (formers.empty()) {
+    Open(aShare, account, limits_.at(aShare.customer_), aNow);
   }
 }
 
@@ -85,10 +188,17 @@
   if (found == accounts_.end() || !found->second.owned_) {
     return nullptr;
   }
-  UpdateBucket(found->second, limits_.at(aShare.customer_), aNow);
+  UpdateBucket(aShare, found->second, limits_.at(aShare.customer_), aNow);
   return &found->second;
 }
 
+CustomerAllowances::Account*
+CustomerAllowances::FindOpen(const ShareKey& aShare, TimePoint aNow)
+{
+  Account* account = FindOwned(aShare, aNow);
+  return account == nullptr || account->opensAt_ ? nullptr : account;
+}
+
 TokenGrant
 CustomerAllowances::Take(const ShareKey& aShare, double aTokens, TimePoint aNow)
 {
@@ -96,6 +206,10 @@
   if (account == nullptr) {
     return {};
   }
+  if (account->opensAt_) {
+    const Duration wait = *account->opensAt_ - aNow;
+    return { true, 0, std::min(wait, options_.handoverRetry_) };
+  }
   TokenBucket& bucket = account->bucket_;
   const double whole = std::floor(std::min(aTokens, bucket.Level()));
   TokenGrant grant;
@@ -132,7 +246,7 @@
                             double aTokens,
                             TimePoint aNow)
 {
-  if (Account* account = FindOwned(aShare, aNow)) {
+  if (Account* account = FindOpen(aShare, aNow)) {
     account->bucket_.AddTokens(aTokens, aNow);
   }
 }
@@ -140,7 +254,7 @@
 double
 CustomerAllowances::TokensToBorrow(const ShareKey& aShare, TimePoint aNow)
 {
-  Account* account = FindOwned(aShare, aNow);
+  Account* account = FindOpen(aShare, aNow);
   if (account == nullptr) {
     return 0;
   }
@@ -152,7 +266,7 @@
 double
 CustomerAllowances::Lend(const ShareKey& aShare, double aTokens, TimePoint aNow)
 {
-  Account* account = FindOwned(aShare, aNow);
+  Account* account = FindOpen(aShare, aNow);
   if (account == nullptr) {
     return 0;
   }
--- a/src/gateway/CustomerAllowances.h
+++ b/src/gateway/CustomerAllowances.h
@@ -13,11 +13,11 @@
 // equals the limit even if the hosts' views differ.
 //
 // Two hosts can both consider themselves the owner of a share while their views
-// differ. A new owner therefore starts with few tokens, and begins to refill
-// its bucket only after the longest time for which views can differ
-// (AllowanceOptions::handoverDelay_). A former owner stops granting tokens
-// immediately, and keeps its remaining tokens in case it becomes the owner
-// again.
+// differ. A new owner therefore grants nothing until the registered hosts that
+// owned the share before have confirmed that they do not consider themselves
+// its owners any more, or their views must be too old for that. It then starts
+// with few tokens. A former owner stops granting tokens immediately, and keeps
+// its remaining tokens in case it becomes the owner again.
 //
 //   allowances.Apply(table, now);     // with each view
 //   TokenGrant grant = allowances.Take(share, 1, now);
@@ -25,18 +25,29 @@
 #include "base/BootClock.h"
 #include "budget/TokenBucket.h"
 #include "gateway/AllowanceOwners.h"
+#include "gateway/OwnerHistory.h"
 #include "gateway/RoutingTable.h"
+#include "gateway/ViewAge.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace peridotsail {
 
 struct AllowanceOptions
 {
-  // Time from becoming a share's owner until the bucket starts to refill: the
-  // longest time for which the views of two hosts differ.
+  // A registered host stops granting the tokens of a share that it has lost at
+  // most this long after another host has become the owner.
+  Duration maxViewAge_ = kMaxAllowanceViewAge;
+  // The same for a host whose registration has expired. The view of such a host
+  // is older than its lease without the last renewal interval.
   Duration handoverDelay_ = std::chrono::milliseconds(800);
+  // While a new owner waits for former owners, other hosts are told to ask
+  // again after this time.
+  Duration handoverRetry_ = std::chrono::milliseconds(100);
   // Initial tokens of a new bucket, expressed as refill time.
   Duration initialTokens_ = std::chrono::milliseconds(400);
   // Window over which the limit is enforced.
@@ -72,6 +83,13 @@
   Duration wait_{};
 };
 
+// A former owner from which the new owner of a share needs confirmation.
+struct PendingHandover
+{
+  ShareKey share_;
+  FormerOwner former_;
+};
+
 class CustomerAllowances
 {
 public:
@@ -89,6 +107,13 @@
   // Removes up to aTokens from the surplus of this share and returns their
   // number.
   double Lend(const ShareKey& aShare, double aTokens, TimePoint aNow);
+  // The confirmations that the shares owned by this host wait for.
+  bool HasPendingHandovers() const { return !waiting_.empty(); }
+  std::vector<PendingHandover> PendingHandovers(TimePoint aNow);
+  // The host does not consider itself the owner of the share any more.
+  void ConfirmHandover(const ShareKey& aShare,
+                       const std::string& aFormerOwner,
+                       TimePoint aNow);
 
 private:
   struct Account
@@ -99,6 +124,13 @@
     }
     TokenBucket bucket_;
     bool owned_ = false;
+    // The bucket has not received its initial tokens yet.
+    bool fresh_ = true;
+    // Set while former owners may still grant tokens: when they must have
+    // stopped. Nothing is granted until then.
+    std::optional<TimePoint> opensAt_;
+    // Those that have not confirmed yet.
+    std::vector<FormerOwner> formerOwners_;
     TimePoint refillFrom_;
     // Tokens promised to hosts that got none, less those refilled since.
     double promised_ = 0;
@@ -115,13 +147,37 @@
   Duration PromiseTokens(Account& aAccount,
                          double aTokens,
                          TimePoint aNow) const;
-  void UpdateBucket(Account& aAccount, const Limits& aLimits, TimePoint aNow);
+  void BeginOwnership(const ShareKey& aShare,
+                      Account& aAccount,
+                      const Limits& aLimits,
+                      TimePoint aNow);
+  void EndOwnership(const ShareKey& aShare,
+                    Account& aAccount,
+                    const Limits& aLimits,
+                    TimePoint aNow);
+  // Starts granting tokens after all former owners have stopped.
+  void Open(const ShareKey& aShare,
+            Account& aAccount,
+            const Limits& aLimits,
+            TimePoint aNow);
+  void AddInitialTokens(Account& aAccount,
+                        const Limits& aLimits,
+                        TimePoint aNow) const;
+  void UpdateBucket(const ShareKey& aShare,
+                    Account& aAccount,
+                    const Limits& aLimits,
+                    TimePoint aNow);
   // The account of a share owned by this host, refilled up to aNow; null if
   // this host does not own the share.
   Account* FindOwned(const ShareKey& aShare, TimePoint aNow);
+  // The same, also null while former owners may still grant tokens.
+  Account* FindOpen(const ShareKey& aShare, TimePoint aNow);
 
   AllowanceOptions options_;
   AllowanceOwners& owners_;
+  OwnerHistory history_;
+  // The owned shares that wait for former owners.
+  std::set<ShareKey> waiting_;
   // Limits per share, for customers that have a limit.
   std::map<std::string, Limits> limits_;
   std::map<ShareKey, Account> accounts_;
--- a/src/gateway/FlowContext.cc
+++ b/src/gateway/FlowContext.cc
@@ -75,6 +75,7 @@
   }
   if (changed) {
     allowances_.Apply(*table_, BootClock::now());
+    allowanceChannel_.OnOwnersChanged();
   }
   if (!IsReady()) {
     return;
--- a/src/gateway/testing/AllowanceFleet.cc
+++ b/src/gateway/testing/AllowanceFleet.cc
@@ -125,6 +125,9 @@
   };
   hooks.viewAge_ = [this, aHost](TimePoint) {
     const Host& self = hosts_[aHost];
+    if (now_ < self.cutUntil_) {
+      return FromSeconds(now_ - self.cutSince_);
+    }
     return IsPartitioned(self) ? FromSeconds(now_ - self.partitionedSince_)
                                : Duration::zero();
   };
@@ -156,7 +159,8 @@
   std::uniform_real_distribution<double> lag(kMinLag, kMaxLag);
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
     const double at = std::max(now_ + lag(random_), hosts_[i].frozenUntil_);
-    const double seen = std::max(at, hosts_[i].partitionedUntil_);
+    const double seen =
+      std::max({ at, hosts_[i].partitionedUntil_, hosts_[i].cutUntil_ });
     Schedule(seen, [this, i, process = hosts_[i].process_] {
       Host& host = hosts_[i];
       if (host.process_ == process && host.alive_ &&
@@ -224,6 +228,22 @@
 {
   hosts_[aHost].partitionedSince_ = now_;
   hosts_[aHost].partitionedUntil_ = aUntil;
+  ExpireRegistration(aHost, aUntil, aLeaseTtl);
+}
+
+void
+AllowanceFleet::CutFromStore(std::size_t aHost, double aUntil, double aLeaseTtl)
+{
+  hosts_[aHost].cutSince_ = now_;
+  hosts_[aHost].cutUntil_ = aUntil;
+  ExpireRegistration(aHost, aUntil, aLeaseTtl);
+}
+
+void
+AllowanceFleet::ExpireRegistration(std::size_t aHost,
+                                   double aUntil,
+                                   double aLeaseTtl)
+{
   if (aUntil > now_ + aLeaseTtl) {
     Schedule(now_ + aLeaseTtl, [this, aHost] { Register(aHost, false); });
     Schedule(aUntil, [this, aHost] { Register(aHost, true); });
@@ -272,7 +292,11 @@
   if (const auto* take = std::get_if<TakeRequest>(&aMessage)) {
     Send(aTo, aFrom, host.gate_->Answer(*take, now));
   } else if (const auto* loan = std::get_if<LoanRequest>(&aMessage)) {
-    Send(aTo, aFrom, host.loans_->Answer(*loan, 1, now));
+    const bool lends = host.gate_->MayGrant(now);
+    Send(aTo,
+         aFrom,
+         lends ? host.loans_->Answer(*loan, 1, now)
+               : LoanReply{ loan->id_, 0 });
   } else if (const auto* taken = std::get_if<TakeReply>(&aMessage)) {
     host.gate_->Accept(*taken, now);
   } else {
--- a/src/gateway/testing/AllowanceFleet.h
+++ b/src/gateway/testing/AllowanceFleet.h
@@ -94,6 +94,11 @@
   // aLeaseTtl.
   void Partition(std::size_t aHost, double aUntil, double aLeaseTtl = 4);
 
+  // Cuts the host off from the store only, until the given time: it exchanges
+  // messages, but does not learn of changes, and its registration expires after
+  // aLeaseTtl.
+  void CutFromStore(std::size_t aHost, double aUntil, double aLeaseTtl = 4);
+
   void SetFaults(FleetFaults aFaults) { faults_ = aFaults; }
   const std::vector<double>& Admitted(std::size_t aCustomer) const
   {
@@ -112,6 +117,8 @@
     double frozenUntil_ = 0;
     double partitionedSince_ = 0;
     double partitionedUntil_ = 0;
+    double cutSince_ = 0;
+    double cutUntil_ = 0;
     // Number of the host's current process; messages to an earlier process are
     // dropped.
     int process_ = 0;
@@ -125,6 +132,8 @@
   // lag.
   void PublishHosts();
   void Register(std::size_t aHost, bool aRegistered);
+  // The registration expires if the host does not reach the store in time.
+  void ExpireRegistration(std::size_t aHost, double aUntil, double aLeaseTtl);
   void Send(std::size_t aFrom, std::size_t aTo, AllowanceMessage aMessage);
   void Deliver(std::size_t aFrom, std::size_t aTo, const AllowanceMessage&);
   void Finish(std::size_t aCustomer,
--- a/src/gateway/testing/AllowanceFleetTest.cc
+++ b/src/gateway/testing/AllowanceFleetTest.cc
@@ -253,6 +253,20 @@
         }
       },
       {} },
+    { "a region is cut from the store as hosts are added",
+      [](AllowanceFleet& aFleet, int aSecond, std::mt19937_64&) {
+        constexpr std::size_t kRegions = 3;
+        if (aSecond % 12 != 4) {
+          return;
+        }
+        for (std::size_t i = 1; i < aFleet.Hosts(); i += kRegions) {
+          aFleet.CutFromStore(i, aSecond + 5.0);
+        }
+        for (std::size_t i = 0; i < kRegions; ++i) {
+          aFleet.AddHost();
+        }
+      },
+      {} },
     { "all processes are killed",
       [&](AllowanceFleet& aFleet, int aSecond, std::mt19937_64&) {
         if (aSecond == 20) {
