--- a/src/app/LookupCommand.cc
+++ b/src/app/LookupCommand.cc
@@ -1,5 +1,6 @@
 #include "app/LookupCommand.h"
 
+#include "base/BoundedJson.h"
 #include "http/HttpClient.h"
 #include "proxy/RequestPipeline.h"
 
@@ -63,7 +64,7 @@
               << (response ? response->body_ : reason) << '\n';
     return 1;
   }
-  const auto answer = nlohmann::json::parse(response->body_, nullptr, false);
+  const auto answer = ParseBoundedJson(response->body_);
   if (!answer.is_object()) {
     std::cerr << "peridotsail: the answer is malformed\n";
     return 1;
--- a/src/backend/BackendPool.cc
+++ b/src/backend/BackendPool.cc
@@ -1,5 +1,7 @@
 #include "backend/BackendPool.h"
 
+#include "base/BoundedJson.h"
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -23,7 +25,7 @@
 std::optional<LoadReport>
 ParseLoadReport(std::string_view aText)
 {
-  const auto json = nlohmann::json::parse(aText, nullptr, false);
+  const auto json = ParseBoundedJson(aText);
   constexpr int kMaxRequests = 1'000'000;
   const auto readCount = [&json](const char* aName) -> std::optional<int> {
     if (!json.contains(aName) || !json[aName].is_number_unsigned() ||
--- a/src/base/BoundedCbor.cc
+++ b/src/base/BoundedJson.cc
@@ -1,4 +1,6 @@
-#include "base/BoundedCbor.h"
+#include "base/BoundedJson.h"
+
+#include <stdexcept>
 
 namespace peridotsail {
 
@@ -27,6 +29,9 @@
   bool end_object() override { return --depth_ >= 0; }
   bool start_array(std::size_t) override { return ++depth_ <= maxDepth_; }
   bool end_array() override { return --depth_ >= 0; }
+  // Whether the value was too deep.
+  bool IsExceeded() const { return depth_ > maxDepth_; }
+
   bool parse_error(std::size_t,
                    const std::string&,
                    const nlohmann::detail::exception&) override
@@ -39,6 +44,36 @@
   int depth_ = 0;
 };
 
+// Returns whether the text is nested deeper than aMaxDepth. Text that is
+// malformed before that depth is not.
+bool
+IsTooDeep(std::string_view aText, int aMaxDepth)
+{
+  DepthLimiter limiter(aMaxDepth);
+  Json::sax_parse(aText.begin(), aText.end(), &limiter);
+  return limiter.IsExceeded();
+}
+
+}
+
+nlohmann::json
+ParseBoundedJson(std::string_view aText)
+{
+  return IsTooDeep(aText, kMaxJsonDepth) ? Json(Json::value_t::discarded)
+                                         : Json::parse(aText, nullptr, false);
+}
+
+nlohmann::json
+ParseBoundedJsonOrThrow(std::string_view aText)
+{
+  if (IsTooDeep(aText, kMaxJsonDepth)) {
+    throw std::runtime_error("nested too deeply");
+  }
+  try {
+    return Json::parse(aText);
+  } catch (const Json::exception& error) {
+    throw std::runtime_error(error.what());
+  }
 }
 
 std::optional<nlohmann::json>
--- a/src/budget/TokenMessages.cc
+++ b/src/budget/TokenMessages.cc
@@ -1,6 +1,6 @@
 #include "budget/TokenMessages.h"
 
-#include "base/BoundedCbor.h"
+#include "base/BoundedJson.h"
 
 #include <cmath>
 #include <nlohmann/json.hpp>
--- a/src/config/ConfigurationDelta.cc
+++ b/src/config/ConfigurationDelta.cc
@@ -1,6 +1,6 @@
 #include "config/ConfigurationDelta.h"
 
-#include "base/BoundedCbor.h"
+#include "base/BoundedJson.h"
 #include "base/Hash.h"
 #include "config/KeyedDocument.h"
 
--- a/src/config/ConfigurationParser.cc
+++ b/src/config/ConfigurationParser.cc
@@ -1,5 +1,6 @@
 #include "config/ConfigurationParser.h"
 
+#include "base/BoundedJson.h"
 #include "config/JsonReader.h"
 
 #include <algorithm>
@@ -305,7 +306,7 @@
     aFaults.push_back({ "", "the document is larger than 900000 bytes" });
     return std::nullopt;
   }
-  const nlohmann::json document = nlohmann::json::parse(aText, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(aText);
   if (document.is_discarded()) {
     aFaults.push_back({ "", "the document is not valid JSON" });
     return std::nullopt;
--- a/src/config/ConfigurationSnapshot.cc
+++ b/src/config/ConfigurationSnapshot.cc
@@ -1,5 +1,6 @@
 #include "config/ConfigurationSnapshot.h"
 
+#include "base/BoundedJson.h"
 #include "base/Hash.h"
 #include "config/KeyedDocument.h"
 
@@ -40,7 +41,7 @@
 std::optional<ConfigurationRecord>
 ParseRecord(std::string_view aText)
 {
-  const json value = json::parse(aText, nullptr, false);
+  const json value = ParseBoundedJson(aText);
   if (!value.is_object()) {
     return std::nullopt;
   }
--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -9,6 +9,25 @@
 
 using namespace detail;
 
+namespace {
+
+// A delayed write is at most this far behind. An entry that is further behind
+// follows one whose sequence was wrong.
+constexpr std::uint64_t kMaxSequenceLag = 10000;
+
+// Returns whether the record was written before another one of its server.
+bool
+IsOutdated(const InstanceRecord& aRecord, const InstanceRecord& aOther)
+{
+  if (aRecord.born_ != aOther.born_) {
+    return aRecord.born_ < aOther.born_;
+  }
+  return aRecord.sequence_ < aOther.sequence_ &&
+         aOther.sequence_ - aRecord.sequence_ <= kMaxSequenceLag;
+}
+
+}
+
 struct ControlLoop::Impl : public std::enable_shared_from_this<Impl>
 {
   using Kind = ControlCodec::Kind;
@@ -521,10 +540,7 @@
   const auto known = view_.instances_.find(aId);
   if (known != view_.instances_.end()) {
     const InstanceRecord& old = known->second;
-    const bool outdated =
-      record->born_ < old.born_ ||
-      (record->born_ == old.born_ && record->sequence_ < old.sequence_);
-    if (outdated) {
+    if (IsOutdated(*record, old)) {
       return;
     }
   }
--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -1,5 +1,7 @@
 #include "gateway/FleetTypes.h"
 
+#include "base/BoundedJson.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -64,7 +66,7 @@
 DecodeHostRecord(const std::string& aName, const std::string& aBytes)
 {
   try {
-    const json record = json::parse(aBytes);
+    const json record = ParseBoundedJsonOrThrow(aBytes);
     HostRecord host;
     host.name_ = aName;
     host.callers_ = record.at("callers").get<std::string>();
@@ -80,7 +82,7 @@
           entry.at(1).get<std::map<std::string, std::int64_t>>() });
     }
     return host;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/src/gateway/QuarantineMessages.cc
+++ b/src/gateway/QuarantineMessages.cc
@@ -1,6 +1,6 @@
 #include "gateway/QuarantineMessages.h"
 
-#include "base/BoundedCbor.h"
+#include "base/BoundedJson.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/gateway/ViewMessages.cc
+++ b/src/gateway/ViewMessages.cc
@@ -1,6 +1,6 @@
 #include "gateway/ViewMessages.h"
 
-#include "base/BoundedCbor.h"
+#include "base/BoundedJson.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/once/ClaimSegment.cc
+++ b/src/once/ClaimSegment.cc
@@ -1,6 +1,6 @@
 #include "once/ClaimSegment.h"
 
-#include "base/BoundedCbor.h"
+#include "base/BoundedJson.h"
 #include "base/Hash.h"
 
 #include <exception>
--- a/src/peer/CborReader.h
+++ b/src/peer/CborReader.h
@@ -8,7 +8,7 @@
 //   message.name_ = reader.Text("name", 100);
 //   if (!reader.Valid()) { return std::nullopt; }
 
-#include "base/BoundedCbor.h"
+#include "base/BoundedJson.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
--- a/src/store/HostListClient.cc
+++ b/src/store/HostListClient.cc
@@ -1,5 +1,7 @@
 #include "store/HostListClient.h"
 
+#include "base/BoundedJson.h"
+
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -124,7 +126,7 @@
 std::optional<std::vector<ListedHost>>
 ParseHostList(const std::string& aText)
 {
-  const json list = json::parse(aText, nullptr, false);
+  const json list = ParseBoundedJson(aText);
   if (!list.is_object() || !list.contains("items") ||
       !list["items"].is_array()) {
     return std::nullopt;
--- a/src/store/StoreClient.cc
+++ b/src/store/StoreClient.cc
@@ -1,5 +1,6 @@
 #include "store/StoreClient.h"
 
+#include "base/BoundedJson.h"
 #include "base/EventLog.h"
 #include "store/StoreJson.h"
 
@@ -50,7 +51,7 @@
 private:
   void ReadMessage(std::string_view aText)
   {
-    const json message = json::parse(aText, nullptr, false);
+    const json message = ParseBoundedJson(aText);
     if (!message.is_object()) {
       ReportMalformed("/v3/watch");
       return;
@@ -121,7 +122,7 @@
                     std::to_string(aResponse->status_) });
       return;
     }
-    json response = json::parse(aResponse->body_, nullptr, false);
+    json response = ParseBoundedJson(aResponse->body_);
     if (!response.is_object()) {
       aCallback(std::nullopt, ReportMalformed(aPath));
       return;
