Ignore load reports and deadlines out of range

A server whose Server-Load was a number near the range of int was left out as full; a caller's Deadline-Ms near the range of 64 bits overflowed and ended the request at once.

--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -15,6 +15,8 @@
 
 // The deadline of requests that state none.
 constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+// Longer deadlines are shortened; durations count in nanoseconds.
+constexpr std::chrono::milliseconds kMaxDeadline = std::chrono::hours(24);
 // The target latency of routes that configure none.
 constexpr Duration kDefaultTargetLatency = std::chrono::milliseconds(500);
 // The number of leading body bytes that enter the fingerprint.
@@ -295,7 +297,7 @@
   const auto parsed =
     std::from_chars(text.data(), text.data() + text.size(), milliseconds);
   if (!text.empty() && parsed.ec == std::errc()) {
-    limit = std::chrono::milliseconds(milliseconds);
+    limit = std::min(std::chrono::milliseconds(milliseconds), kMaxDeadline);
   }
   if (route_->timeout_ > Duration::zero()) {
     limit = std::min(limit, route_->timeout_);
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -48,6 +48,8 @@
 constexpr std::uint64_t kMaxBodyBytes = 16 << 20;
 // Interim and late responses that may precede the response to a request.
 constexpr int kMaxSkippedMessages = 32;
+// A server with more requests than this reports nonsense.
+constexpr int kMaxReportedRequests = 1000000;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
@@ -57,6 +59,15 @@
   return ToView(aFields[aName]);
 }
 
+bool
+IsPlausible(const ReportedLoad& aLoad)
+{
+  const auto inRange = [](int aCount) {
+    return aCount >= 0 && aCount <= kMaxReportedRequests;
+  };
+  return inRange(aLoad.running_) && inRange(aLoad.waiting_);
+}
+
 // Returns the timeout of a Keep-Alive header such as "timeout=5, max=100", or
 // zero if there is none.
 Duration
@@ -319,7 +330,7 @@
     return;
   }
   const auto waiting = std::from_chars(running.ptr + 1, end, load.waiting_);
-  if (waiting.ec != std::errc()) {
+  if (waiting.ec != std::errc() || !IsPlausible(load)) {
     return;
   }
   load.at_ = BootClock::now();
