Reuse no connection on which an earlier answer can be taken for another

Callers saw (report of other operators): a faulty server wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that a server ran, or such a request ran at a second server.

Cause, here: answers are matched by the id of the request. A refusal with another id, or without one on a connection that was used before, was skipped already. But a caller's request that came again under the same id took the first refusal for its answer: 503, although the server ran it. serve has no ids and reused connections on which the server had sent bytes without being asked.

Change: a connection is not reused for an id among the last 64 that it carried; serve closes idle connections on which something is to be read. serve closes a connection after each refusal already, so no earlier one is left on it.

--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -1,5 +1,7 @@
 #include "gateway/ServerConnections.h"
 
+#include <algorithm>
+#include <functional>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -12,6 +14,8 @@
 // probes, in seconds.
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
+// Requests of a connection whose ids are remembered.
+constexpr std::size_t kMaxCarriedIds = 64;
 
 void
 SetOption(int aSocket, int aLevel, int aName, int aValue)
@@ -50,13 +54,25 @@
 bool
 ServerConnection::IsReusable()
 {
-  if (buffer_.size() > 0) {
-    return false;
+  return buffer_.size() == 0 && IsQuiet(socket_);
+}
+
+void
+ServerConnection::OnRequestSent(const std::string& aRequestId)
+{
+  ++requestCount_;
+  carriedIds_.push_back(std::hash<std::string>()(aRequestId));
+  if (carriedIds_.size() > kMaxCarriedIds) {
+    carriedIds_.pop_front();
   }
-  char byte = 0;
-  const ssize_t got =
-    recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool
+ServerConnection::HasCarried(const std::string& aRequestId) const
+{
+  const std::size_t id = std::hash<std::string>()(aRequestId);
+  return std::find(carriedIds_.begin(), carriedIds_.end(), id) !=
+         carriedIds_.end();
 }
 
 ServerConnections::ServerConnections(asio::io_context& aContext,
@@ -67,16 +83,21 @@
 }
 
 ServerConnectionPtr
-ServerConnections::TakeIdle(const InstancePtr& aInstance, TimePoint aNow)
+ServerConnections::TakeIdle(const InstancePtr& aInstance,
+                            const std::string& aRequestId,
+                            TimePoint aNow)
 {
   const auto found = idle_.find(aInstance.get());
   if (found == idle_.end()) {
     return nullptr;
   }
   std::deque<ServerConnectionPtr>& idle = found->second;
-  while (!idle.empty()) {
-    ServerConnectionPtr connection = std::move(idle.back());
-    idle.pop_back();
+  for (std::size_t i = idle.size(); i > 0; --i) {
+    if (idle[i - 1]->HasCarried(aRequestId)) {
+      continue;
+    }
+    ServerConnectionPtr connection = std::move(idle[i - 1]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
     if (aNow < connection->reusableUntil_ && connection->IsReusable()) {
       return connection;
     }
--- a/src/gateway/ServerConnections.h
+++ b/src/gateway/ServerConnections.h
@@ -46,6 +46,12 @@
   // Returns false if the server closed the connection or sent data while it was
   // idle; such data belongs to no request.
   bool IsReusable();
+  // Records a request that is sent on this connection.
+  void OnRequestSent(const std::string& aRequestId);
+  // Returns true if one of the last requests of this connection had the id. An
+  // answer to that request which the server writes again would be taken for the
+  // answer to another one with this id.
+  bool HasCarried(const std::string& aRequestId) const;
 
   tcp::socket socket_;
   beast::flat_buffer buffer_;
@@ -55,6 +61,8 @@
 
 private:
   InstancePtr instance_;
+  // Hashes of the ids of the last requests.
+  std::deque<std::size_t> carriedIds_;
 };
 
 using ServerConnectionPtr = std::unique_ptr<ServerConnection>;
@@ -65,8 +73,10 @@
   ServerConnections(asio::io_context& aContext,
                     ServerConnectionOptions aOptions);
 
-  // Returns a reusable idle connection, or null.
-  ServerConnectionPtr TakeIdle(const InstancePtr& aInstance, TimePoint aNow);
+  // Returns an idle connection that can be reused for the request, or null.
+  ServerConnectionPtr TakeIdle(const InstancePtr& aInstance,
+                               const std::string& aRequestId,
+                               TimePoint aNow);
   // Returns a connection that is not open yet.
   ServerConnectionPtr Create(const InstancePtr& aInstance);
   // Returns a connection to the pool. aKeepAlive is the server's keep-alive
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -107,7 +107,8 @@
   startedAt_ = BootClock::now();
   queueLengthAtStart_ = request_.instance_->queue_.QueueLength(startedAt_);
   request_.instance_->queue_.OnRequestSent();
-  connection_ = connections_.TakeIdle(request_.instance_, startedAt_);
+  connection_ =
+    connections_.TakeIdle(request_.instance_, request_.requestId_, startedAt_);
   if (connection_) {
     Send();
   } else {
@@ -152,7 +153,7 @@
 ServerExchange::Send()
 {
   sent_ = true;
-  ++connection_->requestCount_;
+  connection_->OnRequestSent(request_.requestId_);
   const std::array<asio::const_buffer, 2> bytes{
     asio::buffer(request_.head_), asio::buffer(*request_.body_)
   };
--- a/src/http/BeastTypes.h
+++ b/src/http/BeastTypes.h
@@ -11,7 +11,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <chrono>
+#include <sys/socket.h>
 
 namespace peridotsail::detail {
 
@@ -44,6 +46,17 @@
     aDuration);
 }
 
+// Returns true if nothing is to be read from an idle connection: the peer
+// neither closed it nor sent data, which would belong to no request.
+inline bool
+IsQuiet(tcp::socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t got =
+    recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 // Binds the acceptor to the address and starts listening. Returns false and
 // sets aError on failure.
 inline bool
--- a/src/proxy/BackendConnections.cc
+++ b/src/proxy/BackendConnections.cc
@@ -20,6 +20,8 @@
     BackendConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
     if (now - connection->idleSince_ < options_.idleTimeout_ &&
+        connection->buffer_.size() == 0 &&
+        IsQuiet(connection->stream_.socket()) &&
         health_.MayReuse(connection->id_, now)) {
       connection->reused_ = true;
       return connection;
--- a/src/proxy/BackendConnections.h
+++ b/src/proxy/BackendConnections.h
@@ -49,7 +49,8 @@
   BackendConnections(asio::io_context& aContext,
                      BackendConnectionsOptions aOptions);
 
-  // Returns an idle connection, or null.
+  // Returns an idle connection, or null. A connection on which the server has
+  // sent bytes since its last response is closed: they belong to no request.
   BackendConnectionPtr TakeIdle(const std::string& aAddress);
   // Creates a connection that has not been opened yet.
   BackendConnectionPtr Create(const std::string& aAddress);
