Answer the remaining requests also if the first step is the last

Callers saw: nothing yet.

Cause: only the step before the last one answered them, and a delay can skip it.

Change: the last step answers them too.

--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -488,7 +488,8 @@
   callers_.CloseIdle();
   const DrainStep step =
     drain_.Next(aElapsed, { flow_.inFlight_, callers_.Connections() });
-  if (step == DrainStep::AnswerRest) {
+  // After a delay the last step may follow at once.
+  if (step == DrainStep::AnswerRest || step == DrainStep::Exit) {
     callers_.AnswerRest();
   }
   return step;
