--- a/src/gateway/AllowanceGate.cc
+++ b/src/gateway/AllowanceGate.cc
@@ -308,7 +308,7 @@
   if (aNow < nextHandoverAt_) {
     return;
   }
-  nextHandoverAt_ = aNow + options_.handoverInterval_;
+  nextHandoverAt_ = aNow + allowances_.Options().handoverInterval_;
   if (handovers_.size() > kMaxHandoverRequests) {
     handovers_.clear();
   }
--- a/src/gateway/AllowanceGate.h
+++ b/src/gateway/AllowanceGate.h
@@ -51,9 +51,6 @@
   // An owner whose view of the hosts is older than this grants nothing, since
   // another host may own the share by then.
   Duration maxViewAge_ = kMaxAllowanceViewAge;
-  // How often a former owner is asked whether it still considers itself the
-  // owner of a share.
-  Duration handoverInterval_ = std::chrono::milliseconds(100);
 };
 
 enum class AdmissionResult
--- a/src/gateway/CallerConnection.cc
+++ b/src/gateway/CallerConnection.cc
@@ -116,7 +116,7 @@
 }
 
 void
-CallerConnection::AnswerRest()
+CallerConnection::AnswerRemaining()
 {
   readClosed_ = true;
   // An answer changes the pipeline.
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -79,7 +79,7 @@
   void CloseIfIdle();
   // Ends all requests in progress before the process exits; further input is
   // ignored.
-  void AnswerRest();
+  void AnswerRemaining();
   bool IsIdle() const;
   bool IsClosed() const { return closed_; }
   // Enforces the header and idle timeouts. Call a few times per second.
--- a/src/gateway/CallerListener.cc
+++ b/src/gateway/CallerListener.cc
@@ -84,10 +84,10 @@
 }
 
 void
-CallerListener::AnswerRest()
+CallerListener::AnswerRemaining()
 {
   for (const auto& connection : connections_) {
-    connection->AnswerRest();
+    connection->AnswerRemaining();
   }
 }
 
--- a/src/gateway/CallerListener.h
+++ b/src/gateway/CallerListener.h
@@ -27,7 +27,7 @@
   // Closes connections without requests and forgets those that are closed.
   void CloseIdle();
   // Ends all requests in progress before the process exits.
-  void AnswerRest();
+  void AnswerRemaining();
   std::size_t Connections() const { return connections_.size(); }
 
 private:
--- a/src/gateway/ControlTiming.h
+++ b/src/gateway/ControlTiming.h
@@ -13,9 +13,8 @@
 Duration
 LongestNotice(const ControlOptions& aOptions, Duration aPollTimeout);
 
-// Shortens the waits of aOptions if LongestNotice exceeds aBound. A bound below
-// the latencies of the network cannot be met; the waits are then as short as
-// kMinTimingScale allows.
+// Shortens the waits of aOptions if LongestNotice exceeds aBound, to a tenth at
+// most: a bound below the latencies of the network cannot be met.
 void
 FitToBound(ControlOptions& aOptions, Duration aPollTimeout, Duration aBound);
 
--- a/src/gateway/CustomerAllowances.cc
+++ b/src/gateway/CustomerAllowances.cc
@@ -74,12 +74,12 @@
     }
   }
   if (aAccount.formerOwners_.empty()) {
-    aAccount.refillFrom_ = aNow + options_.handoverDelay_;
+    aAccount.refillFrom_ = aNow + options_.expiredOwnerDelay_;
     AddInitialTokens(aAccount, aLimits, aNow);
     return;
   }
-  aAccount.opensAt_ = aNow + options_.maxViewAge_;
-  aAccount.refillFrom_ = *aAccount.opensAt_;
+  aAccount.grantsFrom_ = aNow + options_.maxViewAge_;
+  aAccount.refillFrom_ = *aAccount.grantsFrom_;
   waiting_.insert(aShare);
 }
 
@@ -90,22 +90,22 @@
                                  TimePoint aNow)
 {
   aAccount.owned_ = false;
-  aAccount.opensAt_.reset();
+  aAccount.grantsFrom_.reset();
   aAccount.formerOwners_.clear();
   aAccount.bucket_.SetLimits(0, aLimits.depth_, aNow);
   waiting_.erase(aShare);
 }
 
 void
-CustomerAllowances::Open(const ShareKey& aShare,
-                         Account& aAccount,
-                         const Limits& aLimits,
-                         TimePoint aNow)
+CustomerAllowances::StartGranting(const ShareKey& aShare,
+                                  Account& aAccount,
+                                  const Limits& aLimits,
+                                  TimePoint aNow)
 {
   // The initial tokens are those of the first refill.
   aAccount.refillFrom_ =
     aAccount.fresh_ ? aNow + options_.initialTokens_ : aNow;
-  aAccount.opensAt_.reset();
+  aAccount.grantsFrom_.reset();
   aAccount.formerOwners_.clear();
   waiting_.erase(aShare);
   AddInitialTokens(aAccount, aLimits, aNow);
@@ -132,10 +132,10 @@
   if (!aAccount.owned_) {
     BeginOwnership(aShare, aAccount, aLimits, aNow);
   }
-  if (aAccount.opensAt_ && aNow >= *aAccount.opensAt_) {
-    Open(aShare, aAccount, aLimits, *aAccount.opensAt_);
+  if (aAccount.grantsFrom_ && aNow >= *aAccount.grantsFrom_) {
+    StartGranting(aShare, aAccount, aLimits, *aAccount.grantsFrom_);
   }
-  if (!aAccount.opensAt_ && aNow >= aAccount.refillFrom_) {
+  if (!aAccount.grantsFrom_ && aNow >= aAccount.refillFrom_) {
     // Refill from refillFrom_ on, however late the first call after it is.
     aAccount.bucket_.SetLimits(
       aLimits.refill_, aLimits.depth_, aAccount.refillFrom_);
@@ -150,7 +150,7 @@
   // Shares whose former owners must have stopped leave the set.
   const std::set<ShareKey> waiting = waiting_;
   for (const ShareKey& share : waiting) {
-    if (FindOpen(share, aNow) != nullptr) {
+    if (FindGranting(share, aNow) != nullptr) {
       continue;
     }
     for (const FormerOwner& former : accounts_.at(share).formerOwners_) {
@@ -177,7 +177,7 @@
                                }),
                 formers.end());
   if (formers.empty()) {
-    Open(aShare, account, limits_.at(aShare.customer_), aNow);
+    StartGranting(aShare, account, limits_.at(aShare.customer_), aNow);
   }
 }
 
@@ -193,10 +193,10 @@
 }
 
 CustomerAllowances::Account*
-CustomerAllowances::FindOpen(const ShareKey& aShare, TimePoint aNow)
+CustomerAllowances::FindGranting(const ShareKey& aShare, TimePoint aNow)
 {
   Account* account = FindOwned(aShare, aNow);
-  return account == nullptr || account->opensAt_ ? nullptr : account;
+  return account == nullptr || account->grantsFrom_ ? nullptr : account;
 }
 
 TokenGrant
@@ -206,9 +206,9 @@
   if (account == nullptr) {
     return {};
   }
-  if (account->opensAt_) {
-    const Duration wait = *account->opensAt_ - aNow;
-    return { true, 0, std::min(wait, options_.handoverRetry_) };
+  if (account->grantsFrom_) {
+    const Duration wait = *account->grantsFrom_ - aNow;
+    return { true, 0, std::min(wait, options_.handoverInterval_) };
   }
   TokenBucket& bucket = account->bucket_;
   const double whole = std::floor(std::min(aTokens, bucket.Level()));
@@ -246,7 +246,7 @@
                             double aTokens,
                             TimePoint aNow)
 {
-  if (Account* account = FindOpen(aShare, aNow)) {
+  if (Account* account = FindGranting(aShare, aNow)) {
     account->bucket_.AddTokens(aTokens, aNow);
   }
 }
@@ -254,7 +254,7 @@
 double
 CustomerAllowances::TokensToBorrow(const ShareKey& aShare, TimePoint aNow)
 {
-  Account* account = FindOpen(aShare, aNow);
+  Account* account = FindGranting(aShare, aNow);
   if (account == nullptr) {
     return 0;
   }
@@ -266,7 +266,7 @@
 double
 CustomerAllowances::Lend(const ShareKey& aShare, double aTokens, TimePoint aNow)
 {
-  Account* account = FindOpen(aShare, aNow);
+  Account* account = FindGranting(aShare, aNow);
   if (account == nullptr) {
     return 0;
   }
--- a/src/gateway/CustomerAllowances.h
+++ b/src/gateway/CustomerAllowances.h
@@ -42,12 +42,11 @@
   // A registered host stops granting the tokens of a share that it has lost at
   // most this long after another host has become the owner.
   Duration maxViewAge_ = kMaxAllowanceViewAge;
-  // The same for a host whose registration has expired. The view of such a host
-  // is older than its lease without the last renewal interval.
-  Duration handoverDelay_ = std::chrono::milliseconds(800);
-  // While a new owner waits for former owners, other hosts are told to ask
-  // again after this time.
-  Duration handoverRetry_ = std::chrono::milliseconds(100);
+  // The same for a host whose registration has expired.
+  Duration expiredOwnerDelay_ = kMaxActingAfterExpiry;
+  // How often a new owner asks former owners whether they have stopped, and
+  // other hosts may ask the new owner in the meantime.
+  Duration handoverInterval_ = std::chrono::milliseconds(100);
   // Initial tokens of a new bucket, expressed as refill time.
   Duration initialTokens_ = std::chrono::milliseconds(400);
   // Window over which the limit is enforced.
@@ -94,6 +93,7 @@
 {
 public:
   CustomerAllowances(AllowanceOptions aOptions, AllowanceOwners& aOwners);
+  const AllowanceOptions& Options() const { return options_; }
 
   // Applies the customers of the configuration, and the changes in which shares
   // this host owns.
@@ -127,8 +127,8 @@
     // The bucket has not received its initial tokens yet.
     bool fresh_ = true;
     // Set while former owners may still grant tokens: when they must have
-    // stopped. Nothing is granted until then.
-    std::optional<TimePoint> opensAt_;
+    // stopped. Nothing is granted before.
+    std::optional<TimePoint> grantsFrom_;
     // Those that have not confirmed yet.
     std::vector<FormerOwner> formerOwners_;
     TimePoint refillFrom_;
@@ -156,10 +156,10 @@
                     const Limits& aLimits,
                     TimePoint aNow);
   // Starts granting tokens after all former owners have stopped.
-  void Open(const ShareKey& aShare,
-            Account& aAccount,
-            const Limits& aLimits,
-            TimePoint aNow);
+  void StartGranting(const ShareKey& aShare,
+                     Account& aAccount,
+                     const Limits& aLimits,
+                     TimePoint aNow);
   void AddInitialTokens(Account& aAccount,
                         const Limits& aLimits,
                         TimePoint aNow) const;
@@ -171,7 +171,7 @@
   // this host does not own the share.
   Account* FindOwned(const ShareKey& aShare, TimePoint aNow);
   // The same, also null while former owners may still grant tokens.
-  Account* FindOpen(const ShareKey& aShare, TimePoint aNow);
+  Account* FindGranting(const ShareKey& aShare, TimePoint aNow);
 
   AllowanceOptions options_;
   AllowanceOwners& owners_;
--- a/src/gateway/DrainSchedule.cc
+++ b/src/gateway/DrainSchedule.cc
@@ -16,7 +16,7 @@
 constexpr std::array<StepName, 4> kStepNames{ {
   { DrainStep::Accept, "accept" },
   { DrainStep::Finish, "finish" },
-  { DrainStep::AnswerRest, "answer-rest" },
+  { DrainStep::AnswerRemaining, "answer-remaining" },
   { DrainStep::Exit, "exit" },
 } };
 
@@ -82,7 +82,7 @@
   }
   return aElapsed < grace_ - Scaled(kAnswerMargin, grace_)
            ? DrainStep::Finish
-           : DrainStep::AnswerRest;
+           : DrainStep::AnswerRemaining;
 }
 
 bool
--- a/src/gateway/DrainSchedule.h
+++ b/src/gateway/DrainSchedule.h
@@ -25,7 +25,7 @@
   // No new connections; idle ones are closed.
   Finish,
   // The host answers the requests that are still in progress.
-  AnswerRest,
+  AnswerRemaining,
   // The process exits.
   Exit,
 };
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -256,7 +256,8 @@
   options.region_ = settings_.region_;
   options.registration_.leaseTtl_ =
     std::max(options.registration_.leaseTtl_, settings_.bounds_.minLeaseTtl_);
-  FitToBound(options, ViewFeedOptions().timeout_, settings_.bounds_.change_);
+  FitToBound(
+    options, ViewFeedOptions().timeout_, settings_.bounds_.maxChangeDelay_);
   return options;
 }
 
@@ -470,7 +471,7 @@
     Shutdown();
     return;
   }
-  if (step == DrainStep::AnswerRest) {
+  if (step == DrainStep::AnswerRemaining) {
     BeginDeregistration();
   }
   drainTimer_.expires_after(ToSteady(kDrainPollInterval));
@@ -489,8 +490,8 @@
   const DrainStep step =
     drain_.Next(aElapsed, { flow_.inFlight_, callers_.Connections() });
   // After a delay the last step may follow at once.
-  if (step == DrainStep::AnswerRest || step == DrainStep::Exit) {
-    callers_.AnswerRest();
+  if (step == DrainStep::AnswerRemaining || step == DrainStep::Exit) {
+    callers_.AnswerRemaining();
   }
   return step;
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -33,7 +33,7 @@
   // withdrawal.
   Duration keyWithdrawal_ = std::chrono::seconds(5);
   // A change in the store must take effect at each host within this time.
-  Duration change_ = std::chrono::milliseconds(2500);
+  Duration maxChangeDelay_ = std::chrono::milliseconds(2500);
   // The time from SIGTERM to SIGKILL.
   Duration grace_ = std::chrono::seconds(6);
   double retryRatio_ = 0.2;
--- a/src/gateway/HostRegistration.h
+++ b/src/gateway/HostRegistration.h
@@ -10,6 +10,7 @@
 
 #include "gateway/FleetTypes.h"
 #include "gateway/KvStore.h"
+#include "gateway/ViewAge.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -21,9 +22,8 @@
 struct RegistrationOptions
 {
   // The record outlives the host's process by at most this time.
-  Duration leaseTtl_ = std::chrono::seconds(4);
-  // Two consecutive renewals may fail before the lease expires.
-  Duration renewalInterval_ = std::chrono::milliseconds(1300);
+  Duration leaseTtl_ = kRegistrationLease;
+  Duration renewalInterval_ = kRegistrationRenewal;
   // Minimum interval between two writes.
   Duration minWriteInterval_ = std::chrono::milliseconds(1000);
   // Called when the store responds to a lease renewal. May be empty.
--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -54,7 +54,7 @@
 bool
 ServerConnection::IsReusable()
 {
-  return buffer_.size() == 0 && IsQuiet(socket_);
+  return buffer_.size() == 0 && HasNothingToRead(socket_);
 }
 
 void
--- a/src/gateway/StoreAvailability.h
+++ b/src/gateway/StoreAvailability.h
@@ -11,6 +11,7 @@
 // Performs no I/O.
 
 #include "base/BootClock.h"
+#include "gateway/ViewAge.h"
 
 #include <optional>
 
@@ -19,7 +20,7 @@
 struct StoreAvailabilityOptions
 {
   // This host calls the store at least this often, to renew its lease.
-  Duration callInterval_ = std::chrono::milliseconds(1300);
+  Duration callInterval_ = kRegistrationRenewal;
   // A response may be later than callInterval_ by this much.
   Duration responseMargin_ = std::chrono::milliseconds(500);
   // Backend servers whose registrations expired in an outage register again
--- a/src/gateway/ViewAge.h
+++ b/src/gateway/ViewAge.h
@@ -9,12 +9,24 @@
 
 namespace peridotsail {
 
-// For tokens of a customer's allowance. Must be shorter than the lease of a
-// registration.
+// The lease of a host's registration and the interval of its renewals; two
+// consecutive renewals may fail before the lease expires.
+constexpr Duration kRegistrationLease = std::chrono::milliseconds(4000);
+constexpr Duration kRegistrationRenewal = std::chrono::milliseconds(1300);
+
+// For tokens of a customer's allowance.
 constexpr Duration kMaxAllowanceViewAge = std::chrono::milliseconds(3500);
 
-// For requests to cold backend servers. Must be shorter than the lease of a
-// registration.
+// For requests to cold backend servers.
 constexpr Duration kMaxColdStartViewAge = std::chrono::milliseconds(1800);
 
+// A host that is cut off from the store may act on its view for this long after
+// its registration has expired: its last renewal may have been one interval
+// older than its view.
+constexpr Duration kMaxActingAfterExpiry =
+  kMaxAllowanceViewAge - (kRegistrationLease - kRegistrationRenewal);
+
+static_assert(kMaxAllowanceViewAge < kRegistrationLease);
+static_assert(kMaxColdStartViewAge < kRegistrationLease);
+
 }
--- a/src/gateway/testing/DrainScheduleTest.cc
+++ b/src/gateway/testing/DrainScheduleTest.cc
@@ -45,7 +45,7 @@
       INFO(elapsed << " ms: " << NameOf(step) << " after " << NameOf(last));
       CHECK(step >= last);
       last = step;
-      answered = answered || step == DrainStep::AnswerRest;
+      answered = answered || step == DrainStep::AnswerRemaining;
       const bool accepts = step == DrainStep::Accept;
       CHECK(schedule.Next(Milliseconds(elapsed), kIdle) ==
             (accepts ? DrainStep::Accept : DrainStep::Exit));
--- a/src/http/BeastTypes.h
+++ b/src/http/BeastTypes.h
@@ -49,7 +49,7 @@
 // Returns true if nothing is to be read from an idle connection: the peer
 // neither closed it nor sent data, which would belong to no request.
 inline bool
-IsQuiet(tcp::socket& aSocket)
+HasNothingToRead(tcp::socket& aSocket)
 {
   char byte = 0;
   const ssize_t got =
--- a/src/proxy/BackendConnections.cc
+++ b/src/proxy/BackendConnections.cc
@@ -21,7 +21,7 @@
     idle.pop_back();
     if (now - connection->idleSince_ < options_.idleTimeout_ &&
         connection->buffer_.size() == 0 &&
-        IsQuiet(connection->stream_.socket()) &&
+        HasNothingToRead(connection->stream_.socket()) &&
         health_.MayReuse(connection->id_, now)) {
       connection->reused_ = true;
       return connection;
