Log and count the reads of the view, its age, and the version in use

Change: HttpClient measures each call; 3009 and 3010 state bytes, time to the first byte and duration, 3013 the same for large or slow reads that succeed; 3014 and 3015 when the age of the view crosses the bound for changes, 2011 when requests are handled by a version, 2001 its size and decoding time, 5002 and 5005 version and age of the view. Metrics: peridotsail_view_reads_total, peridotsail_view_read_bytes_total, peridotsail_view_age_seconds. No change of a decision.

--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -34,6 +34,7 @@
   EvacuationChanged = 2008,
   SettingsReloaded = 2009,
   ConfigurationEntryUnusable = 2010,
+  ConfigurationUsed = 2011,
   HostConfirmed = 2101,
   // 3000: platform
   StoreUnreachable = 3001,
@@ -48,6 +49,9 @@
   ViewNeighbourFailed = 3010,
   ViewNeighbourBehind = 3011,
   ServerRemovalDelayed = 3012,
+  ViewRead = 3013,
+  ViewLate = 3014,
+  ViewCurrent = 3015,
   // 4000: peers
   PeerConnected = 4001,
   PeerDisconnected = 4002,
--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -442,7 +442,9 @@
     return;
   }
   std::string reason;
+  const TimePoint startedAt = BootClock::now();
   const RoutingTablePtr table = codec_.decodeTable_(aItem.value_, reason);
+  const Duration decodeTime = BootClock::now() - startedAt;
   if (!table) {
     LogEvent(Event::ConfigurationRefused,
              { { "reason", reason }, { "revision", aItem.revision_ } });
@@ -459,9 +461,11 @@
   }
   view_.table_ = table;
   changed_ = true;
-  LogEvent(
-    Event::ConfigurationInForce,
-    { { "version", table->Version() }, { "revision", aItem.revision_ } });
+  LogEvent(Event::ConfigurationInForce,
+           { { "version", table->Version() },
+             { "revision", aItem.revision_ },
+             { "bytes", aItem.value_.size() },
+             { "decode_ms", ToMilliseconds(decodeTime) } });
 }
 
 void
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -9,6 +9,7 @@
 #include "gateway/HostOrder.h"
 #include "gateway/QuarantineRecords.h"
 #include "gateway/RequestFlow.h"
+#include "gateway/ViewAgeMonitor.h"
 #include "gateway/ViewFeed.h"
 #include "http/HttpServer.h"
 
@@ -51,6 +52,8 @@
 
   FlowOptions MakeFlowOptions();
   AllowanceOptions MakeAllowanceOptions() const;
+  ViewFeedOptions MakeFeedOptions();
+  ReadHook MakeReadHook();
   CallerHooks MakeCallerHooks();
   ControlHooks MakeControlHooks();
   ControlOptions MakeControlOptions() const;
@@ -58,7 +61,13 @@
   bool Listen(Error& aError);
   void StartControl();
   int Run();
+  // Applies a view that the control thread passed on at aPostedAt.
+  void OnView(const FleetSnapshotPtr& aSnapshot,
+              TimePoint aConfirmedAt,
+              TimePoint aPostedAt);
   void OnSnapshot(const FleetSnapshotPtr& aSnapshot);
+  // Logs when the view becomes older than the bound for changes.
+  void CheckViewAge(TimePoint aNow);
   void OnTick();
   void PublishSelf();
   HttpServer::Handler MakeControlHandler();
@@ -79,6 +88,8 @@
   GatewayAdapter adapter_;
   Metrics metrics_;
   MetricGauge& droppedLines_;
+  MetricGauge& viewAge_;
+  ReadRecorder readRecorder_;
   std::atomic<bool> draining_{ false };
   // Set before draining_, so that readers of draining_ see it.
   std::atomic<TimePoint> drainStartedAt_{ TimePoint::min() };
@@ -100,6 +111,7 @@
   TimePoint confirmedAt_ = TimePoint::min();
   HostRecord self_;
   HostRecord lastPublished_;
+  ViewAgeMonitor viewAgeMonitor_;
 
   // Used on the control thread only.
   ViewFeed feed_;
@@ -120,6 +132,9 @@
   , adapter_(std::move(aAdapter))
   , droppedLines_(metrics_.Gauge("peridotsail_log_lines_dropped",
                                  "Log lines over the limit or the queue."))
+  , viewAge_(metrics_.Gauge("peridotsail_view_age_seconds",
+                            "Time since the view was last confirmed."))
+  , readRecorder_(metrics_)
   , traffic_("traffic", kRingTasks)
   , control_("control", kRingTasks)
   , instances_(settings_.regions_, settings_.region_)
@@ -141,7 +156,8 @@
   , directoryServer_(traffic_.Context(), {}, MakeControlHandler())
   , metricsServer_(traffic_.Context(), {}, MakeControlHandler())
   , tickTimer_(traffic_.Context())
-  , feed_(control_.Context(), {})
+  , viewAgeMonitor_(settings_.bounds_.maxChangeDelay_)
+  , feed_(control_.Context(), MakeFeedOptions())
   , signals_(mainContext_, SIGTERM, SIGINT, SIGHUP)
   , drainTimer_(mainContext_)
   , drain_(settings_.bounds_.grace_)
@@ -197,6 +213,20 @@
                                           : aNow - confirmedAt_;
 }
 
+ReadHook
+Gateway::Impl::MakeReadHook()
+{
+  return [this](const ReadReport& aReport) { readRecorder_.Record(aReport); };
+}
+
+ViewFeedOptions
+Gateway::Impl::MakeFeedOptions()
+{
+  ViewFeedOptions options;
+  options.onRead_ = MakeReadHook();
+  return options;
+}
+
 CallerHooks
 Gateway::Impl::MakeCallerHooks()
 {
@@ -222,13 +252,12 @@
   // A message that is dropped because the ring is full is superseded by the
   // next one.
   hooks.onView_ = [this](FleetSnapshotPtr aSnapshot, TimePoint aConfirmedAt) {
-    const bool posted =
-      traffic_.Post([this, snapshot = std::move(aSnapshot), aConfirmedAt] {
-        confirmedAt_ = aConfirmedAt;
-        if (snapshot != snapshot_) {
-          OnSnapshot(snapshot);
-        }
-      });
+    const bool posted = traffic_.Post([this,
+                                       snapshot = std::move(aSnapshot),
+                                       aConfirmedAt,
+                                       postedAt = BootClock::now()] {
+      OnView(snapshot, aConfirmedAt, postedAt);
+    });
     if (!posted) {
       LogEvent(Event::RingFull, { { "ring", "traffic" } });
     }
@@ -299,7 +328,7 @@
 void
 Gateway::Impl::StartControl()
 {
-  store_ = adapter_.makeStore_(control_.Context());
+  store_ = adapter_.makeStore_(control_.Context(), MakeReadHook());
   loop_ = std::make_unique<ControlLoop>(control_.Context(),
                                         *store_,
                                         adapter_.codec_,
@@ -310,6 +339,46 @@
   loop_->Start();
 }
 
+void
+Gateway::Impl::OnView(const FleetSnapshotPtr& aSnapshot,
+                      TimePoint aConfirmedAt,
+                      TimePoint aPostedAt)
+{
+  // The age just before the confirmation: how late its changes may be.
+  CheckViewAge(BootClock::now());
+  confirmedAt_ = aConfirmedAt;
+  CheckViewAge(BootClock::now());
+  if (aSnapshot == snapshot_) {
+    return;
+  }
+  const RoutingTablePtr former = flow_.table_;
+  OnSnapshot(aSnapshot);
+  if (flow_.table_ && flow_.table_ != former) {
+    LogEvent(
+      Event::ConfigurationUsed,
+      { { "version", flow_.table_->Version() },
+        { "handover_ms", ToMilliseconds(BootClock::now() - aPostedAt) } });
+  }
+}
+
+void
+Gateway::Impl::CheckViewAge(TimePoint aNow)
+{
+  // Before the first view there is nothing that could be late.
+  if (confirmedAt_ == TimePoint::min()) {
+    return;
+  }
+  const Duration age = ViewAge(aNow);
+  viewAge_.Set(ToSeconds(age));
+  if (const auto change = viewAgeMonitor_.Update(age)) {
+    LogEvent(
+      *change == ViewAgeChange::Late ? Event::ViewLate : Event::ViewCurrent,
+      { { "age_ms", ToMilliseconds(age) },
+        { "limit_ms", ToMilliseconds(settings_.bounds_.maxChangeDelay_) },
+        { "version", flow_.table_ ? flow_.table_->Version() : 0 } });
+  }
+}
+
 void
 Gateway::Impl::OnSnapshot(const FleetSnapshotPtr& aSnapshot)
 {
@@ -338,6 +407,7 @@
       return;
     }
     const TimePoint now = BootClock::now();
+    CheckViewAge(now);
     flow_.connections_.CloseExpired(now);
     flow_.quarantine_.Publish(self_, UnixMilliseconds());
     droppedLines_.Set(static_cast<double>(DroppedLogLines()));
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -15,6 +15,7 @@
 #include "base/ErrorKind.h"
 #include "gateway/ControlLoop.h"
 #include "gateway/GatewayHeaders.h"
+#include "gateway/ReadReport.h"
 #include "http/HttpTypes.h"
 
 #include <functional>
@@ -74,8 +75,10 @@
 {
   GatewayHeaders headers_;
   ControlCodec codec_;
-  // Creates the client of the store on the control thread's io_context.
-  std::function<std::unique_ptr<KvStore>(boost::asio::io_context&)> makeStore_;
+  // Creates the client of the store on the control thread's io_context. The
+  // client calls the hook after each read.
+  std::function<std::unique_ptr<KvStore>(boost::asio::io_context&, ReadHook)>
+    makeStore_;
   // Returns whether a request is a readiness probe.
   std::function<bool(const HttpRequest&)> isReadinessRequest_;
   // Returns the caller's region when the request is a lookup of hosts, or
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -681,7 +681,9 @@
              { "reason", aReason },
              { "customer", customer_ == nullptr ? "" : customer_->name_ },
              { "attempts", attempts_ },
-             { "elapsed_ms", ToMilliseconds(elapsed) } });
+             { "elapsed_ms", ToMilliseconds(elapsed) },
+             { "version", table_ ? table_->Version() : 0 },
+             { "view_age_ms", ToMilliseconds(flow_.options_.viewAge_(now)) } });
   caller_->Respond(std::move(aResponse));
 }
 
--- a/src/gateway/ViewFeed.cc
+++ b/src/gateway/ViewFeed.cc
@@ -1,6 +1,5 @@
 #include "gateway/ViewFeed.h"
 
-#include "base/EventLog.h"
 #include "http/BeastTypes.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
@@ -44,7 +43,7 @@
   };
 
   Impl(asio::io_context& aContext, ViewFeedOptions aOptions)
-    : options_(aOptions)
+    : options_(std::move(aOptions))
     , client_(aContext, {})
     , timer_(aContext)
   {
@@ -60,6 +59,7 @@
   void OnResponse(const std::string& aAddress,
                   const std::optional<HttpResponse>& aResponse,
                   const Error& aError,
+                  const HttpTransfer& aTransfer,
                   const Callback& aCallback);
 
   ViewFeedOptions options_;
@@ -180,23 +180,24 @@
 ViewFeed::Impl::OnResponse(const std::string& aAddress,
                            const std::optional<HttpResponse>& aResponse,
                            const Error& aError,
+                           const HttpTransfer& aTransfer,
                            const Callback& aCallback)
 {
   const int status = aResponse ? aResponse->status_ : 0;
   const auto response = status == 200 ? DecodeViewResponse(aResponse->body_)
                                       : std::optional<ViewResponse>();
+  ReadReport report{ ReadSource::Neighbour, aAddress, status, "", aTransfer };
   if (!response) {
-    LogEvent(
-      Event::ViewNeighbourFailed,
-      { { "neighbour", aAddress },
-        { "status", status },
-        { "reason", aResponse ? "unusable response" : aError.detail_ } });
+    report.failure_ = aResponse ? "unusable response" : aError.detail_;
+  }
+  if (options_.onRead_) {
+    options_.onRead_(report);
   }
   aCallback(response.value_or(ViewResponse()));
 }
 
 ViewFeed::ViewFeed(asio::io_context& aContext, ViewFeedOptions aOptions)
-  : impl_(std::make_shared<Impl>(aContext, aOptions))
+  : impl_(std::make_shared<Impl>(aContext, std::move(aOptions)))
 {
   // Connections from followers can outlive the feed.
   impl_->server_ = std::make_unique<HttpServer>(
@@ -251,6 +252,7 @@
     impl_->OnResponse(aAddress,
                       std::nullopt,
                       { ErrorKind::PeerUnreachable, "malformed address" },
+                      {},
                       aCallback);
     return;
   }
@@ -264,10 +266,12 @@
     aWait + impl_->options_.timeout_,
     [weak = std::weak_ptr<Impl>(impl_),
      aAddress,
-     callback = std::move(aCallback)](
-      const std::optional<HttpResponse>& aResponse, const Error& aError) {
+     callback =
+       std::move(aCallback)](const std::optional<HttpResponse>& aResponse,
+                             const Error& aError,
+                             const HttpTransfer& aTransfer) {
       if (const auto self = weak.lock()) {
-        self->OnResponse(aAddress, aResponse, aError, callback);
+        self->OnResponse(aAddress, aResponse, aError, aTransfer, callback);
       }
     });
 }
--- a/src/gateway/ViewFeed.h
+++ b/src/gateway/ViewFeed.h
@@ -13,6 +13,7 @@
 //   feed.Poll(address, revision, wait, callback);
 
 #include "base/ErrorKind.h"
+#include "gateway/ReadReport.h"
 #include "gateway/ViewCache.h"
 #include "gateway/ViewMessages.h"
 #include "http/HttpTypes.h"
@@ -33,6 +34,8 @@
   Duration timeout_ = std::chrono::milliseconds(250);
   // Maximum number of waiting requests; further ones are answered immediately.
   std::size_t maxWaiting_ = 512;
+  // Called after each poll of another host. May be empty.
+  ReadHook onRead_;
 };
 
 class ViewFeed
--- a/src/http/HttpClient.cc
+++ b/src/http/HttpClient.cc
@@ -90,7 +90,7 @@
               Address aAddress,
               const HttpRequest& aRequest,
               Duration aTimeout,
-              Callback aCallback)
+              MeasuredCallback aCallback)
     : pool_(std::move(aPool))
     , address_(std::move(aAddress))
     , request_(ToBeast(address_, aRequest))
@@ -101,6 +101,7 @@
 
   void Start()
   {
+    startedAt_ = BootClock::now();
     stream_ = pool_->Take(address_);
     reused_ = stream_ != nullptr;
     if (reused_) {
@@ -148,19 +149,30 @@
 
   void Read()
   {
-    http::async_read(
+    http::async_read_some(
       *stream_,
       buffer_,
       *parser_,
-      [self = shared_from_this()](ErrorCode aError, std::size_t) {
-        if (aError) {
-          self->Fail(aError);
-          return;
-        }
-        self->Complete();
+      [self = shared_from_this()](ErrorCode aError, std::size_t aBytes) {
+        self->OnRead(aError, aBytes);
       });
   }
 
+  void OnRead(const ErrorCode& aError, std::size_t aBytes)
+  {
+    if (aBytes > 0 && transfer_.receivedBytes_ == 0) {
+      transfer_.firstByteAfter_ = BootClock::now() - startedAt_;
+    }
+    transfer_.receivedBytes_ += aBytes;
+    if (aError) {
+      Fail(aError);
+    } else if (parser_->is_done()) {
+      Complete();
+    } else {
+      Read();
+    }
+  }
+
   void Fail(const ErrorCode& aError)
   {
     const bool closedWhileIdle = reused_ && aError != beast::error::timeout;
@@ -187,15 +199,18 @@
   void Finish(std::optional<HttpResponse> aResponse, const Error& aError)
   {
     stream_.reset();
-    const Callback callback = std::move(callback_);
-    callback(std::move(aResponse), aError);
+    transfer_.duration_ = BootClock::now() - startedAt_;
+    const MeasuredCallback callback = std::move(callback_);
+    callback(std::move(aResponse), aError, transfer_);
   }
 
   std::shared_ptr<Pool> pool_;
   Address address_;
   http::request<http::string_body> request_;
   Duration timeout_;
-  Callback callback_;
+  MeasuredCallback callback_;
+  TimePoint startedAt_;
+  HttpTransfer transfer_;
   std::unique_ptr<beast::tcp_stream> stream_;
   bool reused_ = false;
   beast::flat_buffer buffer_{ kMaxUnparsedBytes };
@@ -349,6 +364,22 @@
                  const HttpRequest& aRequest,
                  Duration aTimeout,
                  Callback aCallback)
+{
+  Call(aAddress,
+       aRequest,
+       aTimeout,
+       [callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
+                                         const Error& aError,
+                                         const HttpTransfer&) {
+         callback(std::move(aResponse), aError);
+       });
+}
+
+void
+HttpClient::Call(const Address& aAddress,
+                 const HttpRequest& aRequest,
+                 Duration aTimeout,
+                 MeasuredCallback aCallback)
 {
   std::make_shared<PendingCall>(
     pool_, aAddress, aRequest, aTimeout, std::move(aCallback))
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -31,6 +31,18 @@
   std::size_t maxIdleConnections_ = 4;
 };
 
+// Measurements of a call.
+struct HttpTransfer
+{
+  // Of the response, including its head.
+  std::size_t receivedBytes_ = 0;
+  // From the start of the call to the first bytes of the response; zero if none
+  // arrived.
+  Duration firstByteAfter_{};
+  // From the start to the end of the call.
+  Duration duration_{};
+};
+
 // A response that is delivered in chunks, such as a watch.
 class HttpStream
 {
@@ -53,6 +65,8 @@
 public:
   using Callback =
     std::function<void(std::optional<HttpResponse>, const Error&)>;
+  using MeasuredCallback = std::function<
+    void(std::optional<HttpResponse>, const Error&, const HttpTransfer&)>;
 
   HttpClient(boost::asio::io_context& aContext, HttpClientOptions aOptions);
   ~HttpClient();
@@ -66,6 +80,10 @@
             const HttpRequest& aRequest,
             Duration aTimeout,
             Callback aCallback);
+  void Call(const Address& aAddress,
+            const HttpRequest& aRequest,
+            Duration aTimeout,
+            MeasuredCallback aCallback);
 
   // aTimeout limits the time until the response head, aIdleTimeout the time
   // without a chunk afterwards.
