Limit the pauses of a transfer, not its duration

Cause: HttpClient limited a whole call, body included, so the largest response that could be received was the link's rate times the timeout: 312 KB beside an idle link of 10 Mbit/s for a poll of a neighbour at the end of its wait, less in practice. A larger one was cut off, its source counted as failed, and the next source sent the same bytes again from the start. Change: a call can limit the wait for the first bytes and then each pause; 4,096 bytes within the timeout are progress. Reads of the view, of serve's store and of the host list use it; writes, probes and commands keep a total limit. A second connection no longer extends the first limit. Result: http_test 'A response is received as long as it makes progress'; its row with a limit on the whole call is the former behaviour and is cut off.

--- a/src/gateway/ViewFeed.cc
+++ b/src/gateway/ViewFeed.cc
@@ -263,7 +263,7 @@
   impl_->client_.Call(
     *address,
     request,
-    aWait + impl_->options_.timeout_,
+    HttpTimeouts{ aWait + impl_->options_.timeout_, impl_->options_.timeout_ },
     [weak = std::weak_ptr<Impl>(impl_),
      aAddress,
      callback =
--- a/src/http/HttpClient.cc
+++ b/src/http/HttpClient.cc
@@ -89,12 +89,12 @@
   PendingCall(std::shared_ptr<Pool> aPool,
               Address aAddress,
               const HttpRequest& aRequest,
-              Duration aTimeout,
+              HttpTimeouts aTimeouts,
               MeasuredCallback aCallback)
     : pool_(std::move(aPool))
     , address_(std::move(aAddress))
     , request_(ToBeast(address_, aRequest))
-    , timeout_(aTimeout)
+    , timeouts_(aTimeouts)
     , callback_(std::move(aCallback))
   {
   }
@@ -105,7 +105,7 @@
     stream_ = pool_->Take(address_);
     reused_ = stream_ != nullptr;
     if (reused_) {
-      stream_->expires_after(ToSteady(timeout_));
+      AwaitResponse();
       Write();
     } else {
       Connect();
@@ -113,13 +113,34 @@
   }
 
 private:
+  // Sets the timeout until the first bytes of the response. A second connection
+  // does not extend it.
+  void AwaitResponse()
+  {
+    const Duration left = startedAt_ + timeouts_.response_ - BootClock::now();
+    stream_->expires_after(ToSteady(std::max(Duration::zero(), left)));
+  }
+
+  // Extends the timeout if the transfer makes progress.
+  void ExtendTimeout(std::size_t aBytes)
+  {
+    const bool first = transfer_.receivedBytes_ == 0;
+    bytesSinceExtension_ += aBytes;
+    const bool progress =
+      aBytes > 0 && (first || bytesSinceExtension_ >= kMinProgressBytes);
+    if (progress && timeouts_.progress_ > Duration::zero()) {
+      bytesSinceExtension_ = 0;
+      stream_->expires_after(ToSteady(timeouts_.progress_));
+    }
+  }
+
   void Connect()
   {
     reused_ = false;
     buffer_.clear();
     parser_.emplace();
     stream_ = std::make_unique<beast::tcp_stream>(pool_->context_);
-    stream_->expires_after(ToSteady(timeout_));
+    AwaitResponse();
     stream_->async_connect(ToEndpoint(address_),
                            [self = shared_from_this()](ErrorCode aError) {
                              if (aError) {
@@ -163,10 +184,14 @@
     if (aBytes > 0 && transfer_.receivedBytes_ == 0) {
       transfer_.firstByteAfter_ = BootClock::now() - startedAt_;
     }
-    transfer_.receivedBytes_ += aBytes;
     if (aError) {
+      transfer_.receivedBytes_ += aBytes;
       Fail(aError);
-    } else if (parser_->is_done()) {
+      return;
+    }
+    ExtendTimeout(aBytes);
+    transfer_.receivedBytes_ += aBytes;
+    if (parser_->is_done()) {
       Complete();
     } else {
       Read();
@@ -207,10 +232,11 @@
   std::shared_ptr<Pool> pool_;
   Address address_;
   http::request<http::string_body> request_;
-  Duration timeout_;
+  HttpTimeouts timeouts_;
   MeasuredCallback callback_;
   TimePoint startedAt_;
   HttpTransfer transfer_;
+  std::size_t bytesSinceExtension_ = 0;
   std::unique_ptr<beast::tcp_stream> stream_;
   bool reused_ = false;
   beast::flat_buffer buffer_{ kMaxUnparsedBytes };
@@ -365,9 +391,11 @@
                  Duration aTimeout,
                  Callback aCallback)
 {
+  // Without an extension the first timeout limits the whole call.
+  const HttpTimeouts timeouts{ aTimeout, Duration::zero() };
   Call(aAddress,
        aRequest,
-       aTimeout,
+       timeouts,
        [callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
                                          const Error& aError,
                                          const HttpTransfer&) {
@@ -378,11 +406,11 @@
 void
 HttpClient::Call(const Address& aAddress,
                  const HttpRequest& aRequest,
-                 Duration aTimeout,
+                 HttpTimeouts aTimeouts,
                  MeasuredCallback aCallback)
 {
   std::make_shared<PendingCall>(
-    pool_, aAddress, aRequest, aTimeout, std::move(aCallback))
+    pool_, aAddress, aRequest, aTimeouts, std::move(aCallback))
     ->Start();
 }
 
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -31,6 +31,20 @@
   std::size_t maxIdleConnections_ = 4;
 };
 
+// Time limits of a call whose response may be large. A transfer that makes
+// progress is not limited, since its duration depends on the link.
+struct HttpTimeouts
+{
+  // Until the first bytes of the response arrive.
+  Duration response_{};
+  // After that, until the next kMinProgressBytes or the end of the response.
+  Duration progress_{};
+};
+
+// A transfer that receives fewer bytes than this within HttpTimeouts::progress_
+// has stalled.
+constexpr std::size_t kMinProgressBytes = 4096;
+
 // Measurements of a call.
 struct HttpTransfer
 {
@@ -75,14 +89,14 @@
 
   // The callback is called once, on the io_context. After an error the request
   // may or may not have been executed. A GET request is sent again once if a
-  // reused connection turns out to be closed.
+  // reused connection turns out to be closed. aTimeout limits the whole call.
   void Call(const Address& aAddress,
             const HttpRequest& aRequest,
             Duration aTimeout,
             Callback aCallback);
   void Call(const Address& aAddress,
             const HttpRequest& aRequest,
-            Duration aTimeout,
+            HttpTimeouts aTimeouts,
             MeasuredCallback aCallback);
 
   // aTimeout limits the time until the response head, aIdleTimeout the time
--- a/src/http/HttpTypes.cc
+++ b/src/http/HttpTypes.cc
@@ -2,7 +2,9 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core/string.hpp>
+#include <cctype>
 #include <charconv>
+#include <cstdio>
 
 namespace peridotsail {
 
@@ -88,6 +90,24 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+std::string
+EncodeQueryValue(std::string_view aText)
+{
+  std::string encoded;
+  for (const unsigned char byte : aText) {
+    const bool unreserved = std::isalnum(byte) != 0 || byte == '-' ||
+                            byte == '_' || byte == '.' || byte == '/';
+    if (unreserved) {
+      encoded.push_back(static_cast<char>(byte));
+    } else {
+      char hex[4];
+      std::snprintf(hex, sizeof(hex), "%%%02X", byte);
+      encoded += hex;
+    }
+  }
+  return encoded;
+}
+
 std::optional<std::string>
 QueryParameter(std::string_view aTarget, std::string_view aName)
 {
--- a/src/http/HttpTypes.h
+++ b/src/http/HttpTypes.h
@@ -60,6 +60,10 @@
 std::string_view
 PathOf(std::string_view aTarget);
 
+// Encodes the value of a query parameter.
+std::string
+EncodeQueryValue(std::string_view aText);
+
 // Returns the decoded value of a query parameter, or nothing.
 std::optional<std::string>
 QueryParameter(std::string_view aTarget, std::string_view aName);
--- a/src/http/testing/HttpTest.cc
+++ b/src/http/testing/HttpTest.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
@@ -139,6 +140,92 @@
   CHECK(ended);
 }
 
+// Guards against a large response that is cut off by a timeout although it
+// makes progress, as behind a slow link, and against a stalled one that is
+// waited for.
+TEST_CASE("A response is received as long as it makes progress")
+{
+  constexpr Duration kTimeout = std::chrono::milliseconds(500);
+  constexpr Duration kInterval = std::chrono::milliseconds(100);
+  constexpr int kChunks = 12;
+  struct Row
+  {
+    const char* name_;
+    std::size_t chunkBytes_;
+    // Chunks after which the server sends nothing more.
+    int stallAfter_;
+    HttpTimeouts timeouts_;
+    bool received_;
+  };
+  const HttpTimeouts byProgress{ kTimeout, kTimeout };
+  const HttpTimeouts total{ kTimeout, Duration::zero() };
+  const Row rows[] = {
+    { "a slow transfer", 2 * kMinProgressBytes, kChunks, byProgress, true },
+    { "a slow transfer with a limit on the call",
+      2 * kMinProgressBytes,
+      kChunks,
+      total,
+      false },
+    { "a transfer that stalls", 2 * kMinProgressBytes, 6, byProgress, false },
+    { "a transfer of a few bytes at a time", 8, kChunks, byProgress, false },
+    { "no response", 2 * kMinProgressBytes, -1, byProgress, false },
+  };
+  for (const Row& row : rows) {
+    INFO(row.name_);
+    boost::asio::io_context context;
+    boost::asio::steady_timer timer(context);
+    std::shared_ptr<HttpReply> reply;
+    int sent = 0;
+    const std::function<void()> sendNext = [&] {
+      if (sent == row.stallAfter_ && sent < kChunks) {
+        return;
+      }
+      if (sent == kChunks) {
+        reply->End();
+        return;
+      }
+      ++sent;
+      reply->Write(std::string(row.chunkBytes_, 'x'));
+      timer.expires_after(kInterval);
+      timer.async_wait([&](const boost::system::error_code& aError) {
+        if (!aError) {
+          sendNext();
+        }
+      });
+    };
+    HttpServer server(
+      context, {}, [&](const HttpRequest&, std::shared_ptr<HttpReply> aReply) {
+        reply = std::move(aReply);
+        if (row.stallAfter_ >= 0) {
+          reply->Begin(200, {});
+          sendNext();
+        }
+      });
+    Error error;
+    REQUIRE(server.Listen({ "127.0.0.1", 0 }, error));
+    HttpClient client(context, {});
+    std::optional<bool> received;
+    HttpTransfer measured;
+    client.Call({ "127.0.0.1", server.Port() },
+                {},
+                row.timeouts_,
+                [&](const std::optional<HttpResponse>& aResponse,
+                    const Error&,
+                    const HttpTransfer& aTransfer) {
+                  received = aResponse.has_value();
+                  measured = aTransfer;
+                  timer.cancel();
+                  server.Close();
+                });
+    while (!received) {
+      context.run_one();
+    }
+    CHECK(*received == row.received_);
+    CHECK((measured.receivedBytes_ > 0) == (row.stallAfter_ >= 0));
+    CHECK(measured.duration_ >= measured.firstByteAfter_);
+  }
+}
+
 // Guards against memory growth and crashes caused by malformed input.
 TEST_CASE("Malformed and oversized requests get an error status")
 {
--- a/src/store/HostListClient.cc
+++ b/src/store/HostListClient.cc
@@ -176,12 +176,14 @@
     "/apis/discovery.k8s.io/v1/namespaces/default/endpointslices"
     "?labelSelector=kubernetes.io/service-name=" +
     aService;
+  const Duration timeout = impl_->options_.timeout_;
   impl_->client_.Call(
     impl_->options_.address_,
     request,
-    impl_->options_.timeout_,
+    HttpTimeouts{ timeout, timeout },
     [callback = std::move(aCallback)](std::optional<HttpResponse> aResponse,
-                                      const Error& aError) {
+                                      const Error& aError,
+                                      const HttpTransfer&) {
       if (!aResponse) {
         callback(std::nullopt, aError);
         return;
--- a/src/store/StoreClient.cc
+++ b/src/store/StoreClient.cc
@@ -96,14 +96,16 @@
     HttpRequest request{
       "POST", aPath, { { "Content-Type", "application/json" } }, aBody.dump()
     };
-    client_.Call(
-      options_.address_,
-      request,
-      options_.timeout_,
-      [aPath, callback = std::move(aCallback)](
-        const std::optional<HttpResponse>& aResponse, const Error& aError) {
-        HandleResponse(aPath, aResponse, aError, callback);
-      });
+    const HttpTimeouts timeouts{ options_.timeout_, options_.timeout_ };
+    client_.Call(options_.address_,
+                 request,
+                 timeouts,
+                 [aPath, callback = std::move(aCallback)](
+                   const std::optional<HttpResponse>& aResponse,
+                   const Error& aError,
+                   const HttpTransfer&) {
+                   HandleResponse(aPath, aResponse, aError, callback);
+                 });
   }
 
   static void HandleResponse(const std::string& aPath,
--- a/src/store/StoreClient.h
+++ b/src/store/StoreClient.h
@@ -28,6 +28,7 @@
 struct StoreOptions
 {
   Address address_;
+  // Limits the wait for a response, and each pause while it is received.
   Duration timeout_ = std::chrono::seconds(2);
   // A watch that receives no message for this time is ended. If requested, the
   // store sends progress messages more often than this.
