Follow hosts with fast links first

Change: a host's registration states its bandwidth (link_mbps, 0 if not known), and hosts with less than a quarter of the fastest link of the region come last in the tree.

--- a/src/gateway/FleetTypes.cc
+++ b/src/gateway/FleetTypes.cc
@@ -56,6 +56,7 @@
                      { "failure_domain", aHost.failureDomain_ },
                      { "region", aHost.region_ },
                      { "draining", aHost.draining_ },
+                     { "link_mbps", aHost.linkMbps_ },
                      { "refused", EncodeFingerprints(aHost.refused_) },
                      { "completed", EncodeFingerprints(aHost.completed_) },
                      { "suspected", suspected } };
@@ -74,6 +75,7 @@
     host.failureDomain_ = record.at("failure_domain").get<std::string>();
     host.region_ = record.at("region").get<std::string>();
     host.draining_ = record.at("draining").get<bool>();
+    host.linkMbps_ = record.value("link_mbps", 0.0);
     host.refused_ = DecodeFingerprints(record.at("refused"));
     host.completed_ = DecodeFingerprints(record.at("completed"));
     for (const json& entry : record.at("suspected")) {
--- a/src/gateway/FleetTypes.h
+++ b/src/gateway/FleetTypes.h
@@ -73,6 +73,8 @@
   std::string failureDomain_;
   std::string region_;
   bool draining_ = false;
+  // The bandwidth of the host's link in Mbit/s; 0 if not known.
+  double linkMbps_ = 0;
   // Fingerprints of requests that the host refuses because they crash backend
   // servers, of requests during which it saw servers die, and of requests that
   // it saw complete although another host suspects them.
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -67,6 +67,8 @@
   // view. A host without it does both only for itself.
   std::optional<Address> peers_;
   std::size_t maxDescriptors_ = 1024;
+  // The bandwidth of the host's link in Mbit/s; 0 if not known.
+  double linkMbps_ = 0;
   FleetBounds bounds_;
 };
 
--- a/src/gateway/ViewSources.cc
+++ b/src/gateway/ViewSources.cc
@@ -16,28 +16,42 @@
 {
 }
 
-void
-ViewSources::SetHosts(const std::map<std::string, HostRecord>& aHosts)
+// Returns the hosts of the region that can be followed, in the order of the
+// tree.
+std::vector<ViewSources::Ranked>
+ViewSources::Rank(const std::map<std::string, HostRecord>& aHosts) const
 {
-  struct Ranked
-  {
-    std::uint64_t score_;
-    ViewSource source_;
-  };
   std::vector<Ranked> order;
   const std::uint64_t region = StableHash(region_);
+  double fastest = 0;
   for (const auto& [name, host] : aHosts) {
     const bool eligible =
       host.region_ == region_ && !host.draining_ && !host.peers_.empty();
     if (eligible) {
-      order.push_back({ MixHash(region ^ StableHash(name)),
+      order.push_back({ host.linkMbps_,
+                        MixHash(region ^ StableHash(name)),
                         { name, host.peers_, false, TimePoint::min() } });
+      fastest = std::max(fastest, host.linkMbps_);
     }
   }
+  const double slow = fastest * options_.slowLinkFraction_;
+  const auto isSlow = [&](const Ranked& aRanked) {
+    // A link of unknown bandwidth is not taken for slow.
+    return aRanked.linkMbps_ > 0 && aRanked.linkMbps_ < slow;
+  };
   std::sort(
-    order.begin(), order.end(), [](const Ranked& aLeft, const Ranked& aRight) {
-      return aLeft.score_ > aRight.score_;
+    order.begin(), order.end(), [&](const Ranked& aLeft, const Ranked& aRight) {
+      const bool leftSlow = isSlow(aLeft);
+      return leftSlow == isSlow(aRight) ? aLeft.score_ > aRight.score_
+                                        : !leftSlow;
     });
+  return order;
+}
+
+void
+ViewSources::SetHosts(const std::map<std::string, HostRecord>& aHosts)
+{
+  const std::vector<Ranked> order = Rank(aHosts);
   const auto own =
     std::find_if(order.begin(), order.end(), [&](const Ranked& aRanked) {
       return aRanked.source_.host_ == self_;
--- a/src/gateway/ViewSources.h
+++ b/src/gateway/ViewSources.h
@@ -4,10 +4,11 @@
 // itself or from a neighbour that follows it. The non-draining hosts of a
 // region form a tree in rendezvous order, which all of them compute
 // identically: the first host reads the store, and every other host follows its
-// parent. A host whose parent fails or is stale asks the first or second host
-// of the tree, then reads the store itself, and if that fails too, asks other
-// hosts of its region: the store may reject some hosts while it serves the
-// rest.
+// parent. Hosts behind slow links come last, since a parent sends each change
+// to all of its followers. A host whose parent fails or is stale asks the first
+// or second host of the tree, then reads the store itself, and if that fails
+// too, asks other hosts of its region: the store may reject some hosts while it
+// serves the rest.
 //
 // Performs no I/O.
 //
@@ -44,6 +45,9 @@
   // Until then, sources that did not fail are preferred, so that a source that
   // may soon be asked again does not keep a host from reading the store.
   Duration failureTtl_ = std::chrono::milliseconds(1000);
+  // A host whose link has less than this fraction of the bandwidth of the
+  // region's fastest link is behind a slow link.
+  double slowLinkFraction_ = 0.25;
   // Number of additional neighbours to try.
   std::size_t extraNeighbours_ = 3;
 };
@@ -97,6 +101,15 @@
     int consecutive_ = 0;
   };
 
+  struct Ranked
+  {
+    double linkMbps_;
+    std::uint64_t score_;
+    ViewSource source_;
+  };
+
+  std::vector<Ranked> Rank(
+    const std::map<std::string, HostRecord>& aHosts) const;
   const Failure* FailureOf(const ViewSource& aSource) const;
 
   // The last failure of each source that has not responded since, by host name.
