Fetch large values beside the changes, and only their newest version

Cause: a response to a follower contained every version of every value since the follower's revision, so small urgent changes waited for the bytes of large ones, and each late response made the next one larger. Change: values above 16 KB are not part of the events that hosts pass on. The event refers to the value, a newer event of the key replaces it, and the follower fetches the value on a connection of its own, from the neighbour or, if that fails, from the store. Until it arrives, the view counts as confirmed only up to the last confirmation at which the host's value was the newest (PendingValues), so limits on the age of keys hold. A follower of an earlier release, which does not ask for deferred values, gets them with the events. A watch of the store that is slow and contains several versions of a large value is followed by a complete read, which contains one.

--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -4,6 +4,8 @@
 #include "http/BeastTypes.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace peridotsail {
 
@@ -15,6 +17,23 @@
 // follows one whose sequence was wrong.
 constexpr std::uint64_t kMaxSequenceLag = 10000;
 
+// Values of this size make a response noticeably larger.
+constexpr std::size_t kLargeValueBytes = 16 << 10;
+
+// Returns whether the items contain several versions of a large value.
+bool
+HasSupersededLargeValue(const KvItems& aItems)
+{
+  std::set<std::string_view> keys;
+  for (const KvItem& item : aItems.items_) {
+    const bool large = item.value_.size() >= kLargeValueBytes;
+    if (large && !keys.insert(item.key_).second) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // Returns whether the record was written before another one of its server.
 bool
 IsOutdated(const InstanceRecord& aRecord, const InstanceRecord& aOther)
@@ -57,6 +76,11 @@
   bool Continues(const ViewResponse& aResponse) const;
   // aSource is empty for the store.
   void Confirm(TimePoint aConfirmedAt, const std::string& aSource);
+  // Requests the large values that this host does not have.
+  void FetchValues();
+  void FetchFromNeighbour(const ValueRequest& aRequest);
+  void FetchFromStore(const ValueRequest& aRequest);
+  void OnValue(const std::string& aKey, const std::optional<KvItem>& aItem);
   // Starts the first complete read, once this host is registered or
   // registrationWait_ has elapsed.
   void StartFirstRead();
@@ -96,6 +120,9 @@
   // The items found so far by the current complete read.
   std::vector<KvItem> readItems_;
   ViewCache cache_;
+  PendingValues pendingValues_;
+  // The neighbour that responded last.
+  std::string neighbourAddress_;
   ViewSources sources_;
   // Instances that disappeared from the store around an outage, and the time
   // until which they may register again.
@@ -304,7 +331,13 @@
   ApplyEvents(cache_.Add(aItems.items_, aItems.revision_));
   revision_ = std::max(revision_, aItems.revision_);
   Confirm(aSentAt, "");
-  FollowAfterInterval(aSentAt);
+  const Duration elapsed = BootClock::now() - aSentAt;
+  if (elapsed > options_.watchWait_ + options_.slowWatchTime_ &&
+      HasSupersededLargeValue(aItems)) {
+    ReadAll();
+  } else {
+    FollowAfterInterval(aSentAt);
+  }
 }
 
 void
@@ -366,6 +399,7 @@
         confirmedAt, aResponse.storeRecoveredAgo_, now)) {
     LogEvent(Event::StoreReachable);
   }
+  neighbourAddress_ = aSource.address_;
   ApplyEvents(cache_.Add(aResponse.events_, aResponse.revision_));
   revision_ = aResponse.revision_;
   Confirm(confirmedAt, aSource.host_);
@@ -377,23 +411,98 @@
 ControlLoop::Impl::Confirm(TimePoint aConfirmedAt, const std::string& aSource)
 {
   if (aConfirmedAt > confirmedAt_) {
-    confirmedAt_ = aConfirmedAt;
     confirmedBy_ = aSource;
   }
+  pendingValues_.Confirmed(aConfirmedAt, cache_.Missing());
+  confirmedAt_ = pendingValues_.ConfirmedAt();
   Publish();
+  FetchValues();
+}
+
+void
+ControlLoop::Impl::FetchValues()
+{
+  for (const ValueRequest& request : pendingValues_.TakeRequests()) {
+    // The store is asked if the neighbour did not have the value.
+    const bool askNeighbour = hooks_.fetchValue_ &&
+                              !neighbourAddress_.empty() &&
+                              request.failures_ % 2 == 0;
+    if (askNeighbour) {
+      FetchFromNeighbour(request);
+    } else {
+      FetchFromStore(request);
+    }
+  }
+}
+
+void
+ControlLoop::Impl::FetchFromNeighbour(const ValueRequest& aRequest)
+{
+  hooks_.fetchValue_(neighbourAddress_,
+                     aRequest.key_,
+                     aRequest.revision_,
+                     [weak = weak_from_this(),
+                      key = aRequest.key_](const std::optional<KvItem>& aItem) {
+                       if (const auto self = weak.lock()) {
+                         self->OnValue(key, aItem);
+                       }
+                     });
+}
+
+void
+ControlLoop::Impl::FetchFromStore(const ValueRequest& aRequest)
+{
+  store_.Range(aRequest.key_,
+               "",
+               [weak = weak_from_this(),
+                key = aRequest.key_](KvStatus, const KvItems& aItems) {
+                 const auto self = weak.lock();
+                 if (!self) {
+                   return;
+                 }
+                 // Keys that begin with this key come after it.
+                 const bool found =
+                   !aItems.items_.empty() && aItems.items_.front().key_ == key;
+                 self->OnValue(key,
+                               found ? std::optional(aItems.items_.front())
+                                     : std::nullopt);
+               });
+}
+
+void
+ControlLoop::Impl::OnValue(const std::string& aKey,
+                           const std::optional<KvItem>& aItem)
+{
+  if (!aItem || aItem->key_ != aKey) {
+    pendingValues_.Failed(aKey);
+    After(options_.retryDelay_, [](Impl& aSelf) { aSelf.FetchValues(); });
+    return;
+  }
+  if (cache_.SetValue(*aItem)) {
+    ApplyEvents({ *aItem });
+  }
+  pendingValues_.Received(aKey, aItem->revision_);
+  confirmedAt_ = pendingValues_.ConfirmedAt();
+  Publish();
+  FetchValues();
 }
 
 // If several configurations arrived together, only the last one is applied.
+// Deferred events are applied when their value arrives.
 void
 ControlLoop::Impl::ApplyEvents(const std::vector<KvItem>& aItems)
 {
   const KvItem* configuration = nullptr;
   for (const KvItem& item : aItems) {
-    if (codec_.classify_(item.key_).kind_ == Kind::Configuration) {
+    if (!item.deferred_ &&
+        codec_.classify_(item.key_).kind_ == Kind::Configuration) {
       configuration = &item;
     }
   }
   for (const KvItem& item : aItems) {
+    if (item.deferred_) {
+      continue;
+    }
     const bool superseded = configuration != nullptr &&
                             item.key_ == configuration->key_ &&
                             &item != configuration;
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -17,6 +17,10 @@
 //   loop.SetSelf(record);     // published with the next write
 //   loop.Deregister(done);    // revokes the registration
 //
+// A neighbour's events do not contain large values. They are fetched beside the
+// events, so that small changes take effect meanwhile; until they arrive, the
+// view counts as confirmed only up to the time before they appeared.
+//
 // The store can lose its history while it still appears to work. Therefore a
 // single watch follows all keys: a response with a higher revision but no
 // events indicates a gap, after which everything is read again from the store.
@@ -24,6 +28,7 @@
 #include "gateway/FleetTypes.h"
 #include "gateway/HostRegistration.h"
 #include "gateway/KvStore.h"
+#include "gateway/PendingValues.h"
 #include "gateway/StoreAvailability.h"
 #include "gateway/ViewCache.h"
 #include "gateway/ViewMessages.h"
@@ -86,7 +91,11 @@
   // Minimum interval between two watches, so that changes that occur close
   // together are read together.
   Duration minWatchInterval_ = std::chrono::milliseconds(250);
-  // Delay before a failed complete read is repeated.
+  // A watch that takes this much longer than its wait, and that contains
+  // several versions of a large value, is followed by a complete read, which
+  // contains only the newest version.
+  Duration slowWatchTime_ = std::chrono::milliseconds(500);
+  // Delay before a failed complete read or fetch of a value is repeated.
   Duration retryDelay_ = std::chrono::milliseconds(150);
   // Maximum duration of a poll of the preferred neighbour: longer than the
   // neighbour's own watch of the store plus the round trip to the store.
@@ -117,6 +126,13 @@
                      Duration aWait,
                      std::function<void(ViewResponse)>)>
     pollNeighbour_;
+  // Fetches a large value of at least the revision from a neighbour. If empty,
+  // only the store is used.
+  std::function<void(const std::string& aAddress,
+                     const std::string& aKey,
+                     std::uint64_t aRevision,
+                     std::function<void(std::optional<KvItem>)>)>
+    fetchValue_;
 };
 
 class ControlLoop
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -169,6 +169,7 @@
   }
   self_.failureDomain_ = settings_.failureDomain_;
   self_.region_ = settings_.region_;
+  self_.linkMbps_ = settings_.linkMbps_;
 }
 
 Gateway::Impl::~Impl()
@@ -273,6 +274,13 @@
                                   std::function<void(ViewResponse)> aCallback) {
       feed_.Poll(aAddress, aAfterRevision, aWait, std::move(aCallback));
     };
+    hooks.fetchValue_ =
+      [this](const std::string& aAddress,
+             const std::string& aKey,
+             std::uint64_t aRevision,
+             std::function<void(std::optional<KvItem>)> aCallback) {
+        feed_.FetchValue(aAddress, aKey, aRevision, std::move(aCallback));
+      };
   }
   return hooks;
 }
--- a/src/gateway/KvStore.h
+++ b/src/gateway/KvStore.h
@@ -41,6 +41,9 @@
   std::uint64_t revision_ = 0;
   // For events: the key was removed.
   bool removed_ = false;
+  // For events from a neighbour: the value is large, is not part of the event
+  // and must be fetched.
+  bool deferred_ = false;
 };
 
 struct KvItems
--- a/src/gateway/ReadReport.cc
+++ b/src/gateway/ReadReport.cc
@@ -12,10 +12,11 @@
   std::string_view name_;
 };
 
-constexpr std::array<SourceName, 3> kSourceNames{ {
+constexpr std::array<SourceName, 4> kSourceNames{ {
   { ReadSource::StoreRange, "range" },
   { ReadSource::StoreWatch, "watch" },
   { ReadSource::Neighbour, "neighbour" },
+  { ReadSource::NeighbourValue, "neighbour-value" },
 } };
 
 // Usable responses are logged from this size, or if the transfer after the
@@ -23,14 +24,21 @@
 constexpr std::size_t kLoggedBytes = 64 << 10;
 constexpr Duration kLoggedTransferTime = std::chrono::milliseconds(200);
 
+bool
+IsNeighbour(ReadSource aSource)
+{
+  return aSource == ReadSource::Neighbour ||
+         aSource == ReadSource::NeighbourValue;
+}
+
 Event
 EventOf(const ReadReport& aReport)
 {
   if (aReport.failure_.empty()) {
     return Event::ViewRead;
   }
-  return aReport.source_ == ReadSource::Neighbour ? Event::ViewNeighbourFailed
-                                                  : Event::StoreCallFailed;
+  return IsNeighbour(aReport.source_) ? Event::ViewNeighbourFailed
+                                      : Event::StoreCallFailed;
 }
 
 }
@@ -80,10 +88,10 @@
   if (!logged) {
     return;
   }
-  const bool neighbour = aReport.source_ == ReadSource::Neighbour;
   LogEvent(EventOf(aReport),
-           { neighbour ? LogField("neighbour", aReport.address_)
-                       : LogField("call", NameOf(aReport.source_)),
+           { { "call", NameOf(aReport.source_) },
+             { IsNeighbour(aReport.source_) ? "neighbour" : "store",
+               aReport.address_ },
              { "status", aReport.status_ },
              { "reason", aReport.failure_ },
              { "bytes", transfer.receivedBytes_ },
--- a/src/gateway/ReadReport.h
+++ b/src/gateway/ReadReport.h
@@ -22,6 +22,8 @@
   StoreRange,
   StoreWatch,
   Neighbour,
+  // A large value, which is fetched on its own.
+  NeighbourValue,
 };
 
 std::string_view
@@ -54,7 +56,7 @@
     MetricCounter* failed_ = nullptr;
     MetricCounter* bytes_ = nullptr;
   };
-  static constexpr std::size_t kSources = 3;
+  static constexpr std::size_t kSources = 4;
 
   // By ReadSource.
   std::array<Counters, kSources> counters_;
--- a/src/gateway/ViewFeed.cc
+++ b/src/gateway/ViewFeed.cc
@@ -14,8 +14,13 @@
 namespace {
 
 constexpr std::string_view kPath = "/view";
+constexpr std::string_view kValuePath = "/value";
 constexpr const char* kAfter = "after";
 constexpr const char* kWait = "wait_ms";
+// Set to 1 by followers that fetch large values on their own.
+constexpr const char* kDefer = "defer";
+constexpr const char* kKey = "key";
+constexpr const char* kRevision = "revision";
 // A recovery of the store is reported to followers only for this long; older
 // ones are irrelevant to them.
 constexpr Duration kMaxRecoveryAge = std::chrono::seconds(10);
@@ -30,13 +35,49 @@
   return whole ? std::optional(number) : std::nullopt;
 }
 
+std::optional<std::uint64_t>
+QueryNumber(const HttpRequest& aRequest, const char* aName)
+{
+  return ToNumber(QueryParameter(aRequest.target_, aName).value_or(""));
+}
+
+// Adds the large values that deferred events refer to. Returns false if one is
+// not known.
+bool
+AddValues(const ViewCache& aCache, std::vector<KvItem>& aEvents)
+{
+  for (KvItem& event : aEvents) {
+    if (!event.deferred_) {
+      continue;
+    }
+    const KvItem* value = aCache.ValueOf(event.key_, event.revision_);
+    if (value == nullptr) {
+      return false;
+    }
+    event = *value;
+  }
+  return true;
+}
+
 }
 
 struct ViewFeed::Impl : public std::enable_shared_from_this<Impl>
 {
+  enum class RequestKind
+  {
+    // For the events after a revision.
+    Poll,
+    // For a large value of at least a revision.
+    Value,
+  };
   struct PendingRequest
   {
-    std::uint64_t after_ = 0;
+    RequestKind kind_ = RequestKind::Poll;
+    std::uint64_t revision_ = 0;
+    // Of a value.
+    std::string key_;
+    // Whether the follower fetches large values on its own.
+    bool defersValues_ = false;
     TimePoint arrivedAt_;
     TimePoint end_;
     std::shared_ptr<HttpReply> reply_;
@@ -51,9 +92,15 @@
 
   void OnRequest(const HttpRequest& aRequest,
                  const std::shared_ptr<HttpReply>& aReply);
+  // Returns nullopt for a malformed request.
+  std::optional<PendingRequest> ParsePoll(const HttpRequest& aRequest) const;
+  std::optional<PendingRequest> ParseValue(const HttpRequest& aRequest) const;
   bool HasUpdates(const PendingRequest& aPending) const;
   void Respond(const PendingRequest& aPending);
-  void RespondToAll();
+  void RespondToPoll(const PendingRequest& aPending);
+  void RespondToValue(const PendingRequest& aPending);
+  // Responds to all polls if aUpdated, and to the requests for known values.
+  void RespondToWaiting(bool aUpdated);
   void ScheduleTimer();
   void OnTimer();
   void OnResponse(const std::string& aAddress,
@@ -61,6 +108,18 @@
                   const Error& aError,
                   const HttpTransfer& aTransfer,
                   const Callback& aCallback);
+  void OnValue(const std::string& aAddress,
+               const std::optional<HttpResponse>& aResponse,
+               const Error& aError,
+               const HttpTransfer& aTransfer,
+               const ValueCallback& aCallback);
+  // Reports a call to a host; aUsable states whether it had a usable response.
+  void Report(ReadSource aSource,
+              const std::string& aAddress,
+              int aStatus,
+              bool aUsable,
+              const Error& aError,
+              const HttpTransfer& aTransfer) const;
 
   ViewFeedOptions options_;
   HttpClient client_;
@@ -75,38 +134,76 @@
   std::unique_ptr<HttpServer> server_;
 };
 
+std::optional<ViewFeed::Impl::PendingRequest>
+ViewFeed::Impl::ParsePoll(const HttpRequest& aRequest) const
+{
+  const auto after = QueryNumber(aRequest, kAfter);
+  const auto wait = QueryNumber(aRequest, kWait);
+  if (!after || !wait) {
+    return std::nullopt;
+  }
+  const auto maxWait =
+    static_cast<std::uint64_t>(ToMilliseconds(options_.maxWait_));
+  PendingRequest request;
+  request.revision_ = *after;
+  request.defersValues_ =
+    QueryParameter(aRequest.target_, kDefer).value_or("") == "1";
+  request.arrivedAt_ = BootClock::now();
+  request.end_ =
+    request.arrivedAt_ + std::chrono::milliseconds(std::min(*wait, maxWait));
+  return request;
+}
+
+std::optional<ViewFeed::Impl::PendingRequest>
+ViewFeed::Impl::ParseValue(const HttpRequest& aRequest) const
+{
+  const auto revision = QueryNumber(aRequest, kRevision);
+  const auto key = QueryParameter(aRequest.target_, kKey);
+  if (!revision || !key) {
+    return std::nullopt;
+  }
+  PendingRequest request;
+  request.kind_ = RequestKind::Value;
+  request.revision_ = *revision;
+  request.key_ = *key;
+  request.arrivedAt_ = BootClock::now();
+  request.end_ = request.arrivedAt_ + options_.valueWait_;
+  return request;
+}
+
 void
 ViewFeed::Impl::OnRequest(const HttpRequest& aRequest,
                           const std::shared_ptr<HttpReply>& aReply)
 {
-  const auto after =
-    ToNumber(QueryParameter(aRequest.target_, kAfter).value_or(""));
-  const auto wait =
-    ToNumber(QueryParameter(aRequest.target_, kWait).value_or(""));
-  if (PathOf(aRequest.target_) != kPath || !after || !wait) {
+  const std::string_view path = PathOf(aRequest.target_);
+  std::optional<PendingRequest> request;
+  if (path == kPath) {
+    request = ParsePoll(aRequest);
+  } else if (path == kValuePath) {
+    request = ParseValue(aRequest);
+  }
+  if (!request) {
     aReply->Send({ 404, {}, "" });
     return;
   }
-  const auto maxWait =
-    static_cast<std::uint64_t>(ToMilliseconds(options_.maxWait_));
-  const TimePoint now = BootClock::now();
-  const PendingRequest request{ *after,
-                                now,
-                                now + std::chrono::milliseconds(
-                                        std::min(*wait, maxWait)),
-                                aReply };
-  if (HasUpdates(request) || waiting_.size() >= options_.maxWaiting_) {
-    Respond(request);
+  request->reply_ = aReply;
+  if (HasUpdates(*request) || waiting_.size() >= options_.maxWaiting_) {
+    Respond(*request);
     return;
   }
-  waiting_.emplace(request.end_, request);
+  waiting_.emplace(request->end_, *request);
   ScheduleTimer();
 }
 
 bool
 ViewFeed::Impl::HasUpdates(const PendingRequest& aPending) const
 {
-  return cache_ != nullptr && cache_->Revision() > aPending.after_;
+  if (cache_ == nullptr) {
+    return false;
+  }
+  return aPending.kind_ == RequestKind::Poll
+           ? cache_->Revision() > aPending.revision_
+           : cache_->ValueOf(aPending.key_, aPending.revision_) != nullptr;
 }
 
 void
@@ -114,10 +211,22 @@
 {
   if (cache_ == nullptr || confirmation_.at_ == TimePoint::min()) {
     aPending.reply_->Send({ 503, {}, "" });
-    return;
+  } else if (aPending.kind_ == RequestKind::Poll) {
+    RespondToPoll(aPending);
+  } else {
+    RespondToValue(aPending);
   }
+}
+
+void
+ViewFeed::Impl::RespondToPoll(const PendingRequest& aPending)
+{
   ViewResponse response;
-  auto events = cache_->EventsSince(aPending.after_);
+  auto events = cache_->EventsSince(aPending.revision_);
+  if (events && !aPending.defersValues_ && !AddValues(*cache_, *events)) {
+    aPending.reply_->Send({ 503, {}, "" });
+    return;
+  }
   response.status_ = events ? KvStatus::Done : KvStatus::Gone;
   response.events_ = std::move(events).value_or(std::vector<KvItem>());
   response.revision_ = cache_->Revision();
@@ -134,12 +243,31 @@
 }
 
 void
-ViewFeed::Impl::RespondToAll()
+ViewFeed::Impl::RespondToValue(const PendingRequest& aPending)
+{
+  const KvItem* value = cache_->ValueOf(aPending.key_, aPending.revision_);
+  if (value == nullptr) {
+    aPending.reply_->Send({ 404, {}, "" });
+    return;
+  }
+  aPending.reply_->Send({ 200,
+                          { { "Content-Type", "application/cbor" } },
+                          EncodeViewValue(*value) });
+}
+
+void
+ViewFeed::Impl::RespondToWaiting(bool aUpdated)
 {
   std::multimap<TimePoint, PendingRequest> waiting;
   waiting.swap(waiting_);
   for (const auto& [end, request] : waiting) {
-    Respond(request);
+    const bool due =
+      request.kind_ == RequestKind::Poll ? aUpdated : HasUpdates(request);
+    if (due) {
+      Respond(request);
+    } else {
+      waiting_.emplace(end, request);
+    }
   }
 }
 
@@ -176,6 +304,24 @@
   ScheduleTimer();
 }
 
+void
+ViewFeed::Impl::Report(ReadSource aSource,
+                       const std::string& aAddress,
+                       int aStatus,
+                       bool aUsable,
+                       const Error& aError,
+                       const HttpTransfer& aTransfer) const
+{
+  if (!options_.onRead_) {
+    return;
+  }
+  ReadReport report{ aSource, aAddress, aStatus, "", aTransfer };
+  if (!aUsable) {
+    report.failure_ = aStatus == 0 ? aError.detail_ : "unusable response";
+  }
+  options_.onRead_(report);
+}
+
 void
 ViewFeed::Impl::OnResponse(const std::string& aAddress,
                            const std::optional<HttpResponse>& aResponse,
@@ -186,16 +332,34 @@
   const int status = aResponse ? aResponse->status_ : 0;
   const auto response = status == 200 ? DecodeViewResponse(aResponse->body_)
                                       : std::optional<ViewResponse>();
-  ReadReport report{ ReadSource::Neighbour, aAddress, status, "", aTransfer };
-  if (!response) {
-    report.failure_ = aResponse ? "unusable response" : aError.detail_;
-  }
-  if (options_.onRead_) {
-    options_.onRead_(report);
-  }
+  Report(ReadSource::Neighbour,
+         aAddress,
+         status,
+         response.has_value(),
+         aError,
+         aTransfer);
   aCallback(response.value_or(ViewResponse()));
 }
 
+void
+ViewFeed::Impl::OnValue(const std::string& aAddress,
+                        const std::optional<HttpResponse>& aResponse,
+                        const Error& aError,
+                        const HttpTransfer& aTransfer,
+                        const ValueCallback& aCallback)
+{
+  const int status = aResponse ? aResponse->status_ : 0;
+  auto value =
+    status == 200 ? DecodeViewValue(aResponse->body_) : std::optional<KvItem>();
+  Report(ReadSource::NeighbourValue,
+         aAddress,
+         status,
+         value.has_value(),
+         aError,
+         aTransfer);
+  aCallback(std::move(value));
+}
+
 ViewFeed::ViewFeed(asio::io_context& aContext, ViewFeedOptions aOptions)
   : impl_(std::make_shared<Impl>(aContext, std::move(aOptions)))
 {
@@ -236,9 +400,7 @@
   impl_->cache_ = &aCache;
   impl_->confirmation_ = std::move(aConfirmation);
   impl_->publishedRevision_ = aCache.Revision();
-  if (updated) {
-    impl_->RespondToAll();
-  }
+  impl_->RespondToWaiting(updated);
 }
 
 void
@@ -259,11 +421,12 @@
   HttpRequest request;
   request.target_ = std::string(kPath) + "?" + kAfter + "=" +
                     std::to_string(aAfterRevision) + "&" + kWait + "=" +
-                    std::to_string(ToMilliseconds(aWait));
+                    std::to_string(ToMilliseconds(aWait)) + "&" + kDefer + "=1";
+  const Duration timeout = impl_->options_.timeout_;
   impl_->client_.Call(
     *address,
     request,
-    HttpTimeouts{ aWait + impl_->options_.timeout_, impl_->options_.timeout_ },
+    HttpTimeouts{ aWait + timeout, timeout },
     [weak = std::weak_ptr<Impl>(impl_),
      aAddress,
      callback =
@@ -276,4 +439,40 @@
     });
 }
 
+void
+ViewFeed::FetchValue(const std::string& aAddress,
+                     const std::string& aKey,
+                     std::uint64_t aRevision,
+                     ValueCallback aCallback)
+{
+  const auto address = ParseAddress(aAddress);
+  if (!address) {
+    impl_->OnValue(aAddress,
+                   std::nullopt,
+                   { ErrorKind::PeerUnreachable, "malformed address" },
+                   {},
+                   aCallback);
+    return;
+  }
+  HttpRequest request;
+  request.target_ = std::string(kValuePath) + "?" + kKey + "=" +
+                    EncodeQueryValue(aKey) + "&" + kRevision + "=" +
+                    std::to_string(aRevision);
+  const Duration timeout = impl_->options_.timeout_;
+  impl_->client_.Call(
+    *address,
+    request,
+    HttpTimeouts{ impl_->options_.valueWait_ + timeout, timeout },
+    [weak = std::weak_ptr<Impl>(impl_),
+     aAddress,
+     callback =
+       std::move(aCallback)](const std::optional<HttpResponse>& aResponse,
+                             const Error& aError,
+                             const HttpTransfer& aTransfer) {
+      if (const auto self = weak.lock()) {
+        self->OnValue(aAddress, aResponse, aError, aTransfer, callback);
+      }
+    });
+}
+
 }
--- a/src/gateway/ViewFeed.h
+++ b/src/gateway/ViewFeed.h
@@ -11,6 +11,10 @@
 //   if (!feed.Listen(address, error)) { ... }
 //   feed.Publish(cache, confirmation);   // after each confirmation
 //   feed.Poll(address, revision, wait, callback);
+//   feed.FetchValue(address, key, revision, callback);
+//
+// Large values are not part of the responses to polls. A follower fetches them
+// on connections of their own, so that small changes do not wait for them.
 
 #include "base/ErrorKind.h"
 #include "gateway/ReadReport.h"
@@ -21,6 +25,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace peridotsail {
@@ -29,9 +34,13 @@
 {
   // Upper bound on the wait that a request can ask for.
   Duration maxWait_ = std::chrono::milliseconds(5000);
-  // Response timeout in addition to the wait. Hosts of the same region are
+  // Limits the wait for a response, in addition to the wait at the polled host,
+  // and each pause while the response is received. Hosts of the same region are
   // about a millisecond apart.
   Duration timeout_ = std::chrono::milliseconds(250);
+  // How long a polled host waits for a large value that it is still receiving
+  // itself.
+  Duration valueWait_ = std::chrono::milliseconds(1000);
   // Maximum number of waiting requests; further ones are answered immediately.
   std::size_t maxWaiting_ = 512;
   // Called after each poll of another host. May be empty.
@@ -42,6 +51,7 @@
 {
 public:
   using Callback = std::function<void(ViewResponse)>;
+  using ValueCallback = std::function<void(std::optional<KvItem>)>;
 
   ViewFeed(boost::asio::io_context& aContext, ViewFeedOptions aOptions);
   ~ViewFeed();
@@ -60,6 +70,12 @@
             std::uint64_t aAfterRevision,
             Duration aWait,
             Callback aCallback);
+  // Calls the callback once, with the value of the key at the revision or a
+  // later one, or with nullopt if there is no usable response.
+  void FetchValue(const std::string& aAddress,
+                  const std::string& aKey,
+                  std::uint64_t aRevision,
+                  ValueCallback aCallback);
 
 private:
   struct Impl;
--- a/src/gateway/ViewMessages.cc
+++ b/src/gateway/ViewMessages.cc
@@ -35,7 +35,9 @@
 ToJson(const KvItem& aItem)
 {
   json item{ { "key", aItem.key_ }, { "revision", aItem.revision_ } };
-  if (!aItem.removed_) {
+  if (aItem.deferred_) {
+    item["deferred"] = true;
+  } else if (!aItem.removed_) {
     item["value"] = json::binary(
       std::vector<std::uint8_t>(aItem.value_.begin(), aItem.value_.end()));
   }
@@ -48,8 +50,9 @@
   KvItem item;
   item.key_ = aItem.at("key").get<std::string>();
   item.revision_ = aItem.at("revision").get<std::uint64_t>();
-  item.removed_ = !aItem.contains("value");
-  if (!item.removed_) {
+  item.deferred_ = aItem.value("deferred", false);
+  item.removed_ = !item.deferred_ && !aItem.contains("value");
+  if (aItem.contains("value")) {
     const json::binary_t& bytes = aItem.at("value").get_binary();
     item.value_.assign(bytes.begin(), bytes.end());
   }
@@ -109,4 +112,28 @@
   }
 }
 
+std::string
+EncodeViewValue(const KvItem& aItem)
+{
+  std::string bytes;
+  json::to_cbor(ToJson(aItem), bytes);
+  return bytes;
+}
+
+std::optional<KvItem>
+DecodeViewValue(const std::string& aBytes)
+{
+  try {
+    const std::optional<json> message = DecodeBoundedCbor(aBytes, kMaxDepth);
+    if (!message || !message->is_object()) {
+      return std::nullopt;
+    }
+    KvItem item = ToItem(*message);
+    const bool complete = !item.deferred_ && !item.removed_;
+    return complete ? std::optional(std::move(item)) : std::nullopt;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }
--- a/src/gateway/ViewMessages.h
+++ b/src/gateway/ViewMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The response of a host to a host that follows its view, encoded as CBOR.
+// The responses of a host to a host that follows its view, encoded as CBOR.
 
 #include "gateway/KvStore.h"
 
@@ -48,4 +48,12 @@
 std::optional<ViewResponse>
 DecodeViewResponse(const std::string& aBytes);
 
+// The response to a request for a large value.
+std::string
+EncodeViewValue(const KvItem& aItem);
+
+// Returns nullopt for malformed input.
+std::optional<KvItem>
+DecodeViewValue(const std::string& aBytes);
+
 }
--- a/src/gateway/testing/ViewTest.cc
+++ b/src/gateway/testing/ViewTest.cc
@@ -1,3 +1,4 @@
+#include "gateway/PendingValues.h"
 #include "gateway/ViewCache.h"
 #include "gateway/ViewMessages.h"
 #include "gateway/ViewSources.h"
@@ -234,6 +235,36 @@
   CHECK(SourcesOf("h0", {}).Next(At(0)).IsStore());
 }
 
+// Guards against a host behind a slow link that must send every change to its
+// region.
+TEST_CASE("Hosts behind slow links follow others and are not followed")
+{
+  constexpr int kHosts = 13;
+  auto hosts = MakeHosts(kHosts, "east");
+  std::set<std::string> slow;
+  for (int i = 0; i < 9; ++i) {
+    hosts[NameOf(i)].linkMbps_ = 10;
+    slow.insert(NameOf(i));
+  }
+  hosts[NameOf(9)].linkMbps_ = 60;
+  hosts[NameOf(10)].linkMbps_ = 200;
+  hosts[NameOf(11)].linkMbps_ = 200;
+  // The bandwidth of the last host is not known, as in an earlier release.
+  int readers = 0;
+  for (int i = 0; i < kHosts; ++i) {
+    const ViewSource source = SourcesOf(NameOf(i), hosts).Next(At(0));
+    readers += source.IsStore() ? 1 : 0;
+    CHECK(slow.count(source.IsStore() ? NameOf(i) : source.host_) == 0);
+  }
+  CHECK(readers == 1);
+  // Where all links are alike, none is slow.
+  for (auto& [name, host] : hosts) {
+    host.linkMbps_ = 10;
+  }
+  CHECK(SourcesOf(NameOf(0), hosts).Next(At(0)).host_ ==
+        SourcesOf(NameOf(0), MakeHosts(kHosts, "east")).Next(At(0)).host_);
+}
+
 // Guards against changes that a follower misses, in any interleaving of what
 // its host read from the store: paged reads that overlap with changes, and
 // repeated events.
@@ -358,12 +389,159 @@
   CHECK(cache.EventsSince(49)->empty());
 }
 
+// Guards against followers that receive each version of a large value, or wait
+// for it before they learn of smaller changes.
+TEST_CASE("Large values are kept apart from the events")
+{
+  ViewCacheOptions options;
+  options.maxInlineBytes_ = 100;
+  options.maxValueBytes_ = 1000;
+  ViewCache cache(options);
+  const auto large = [](const std::string& aKey, std::uint64_t aRevision) {
+    KvItem item = Item(aKey, aRevision);
+    item.value_.resize(400, 'x');
+    return item;
+  };
+  const auto deferred = [](const std::string& aKey, std::uint64_t aRevision) {
+    KvItem item;
+    item.key_ = aKey;
+    item.revision_ = aRevision;
+    item.deferred_ = true;
+    return item;
+  };
+  cache.Replace({ large("config", 1) }, 1);
+  REQUIRE(cache.ValueOf("config", 1) != nullptr);
+  cache.Add({ large("config", 2), Item("server", 3), large("config", 4) }, 4);
+  const auto events = cache.EventsSince(1);
+  REQUIRE(events);
+  REQUIRE(events->size() == 2);
+  CHECK(events->at(0).key_ == "server");
+  CHECK_FALSE(events->at(0).deferred_);
+  CHECK(events->at(1).revision_ == 4);
+  CHECK(events->at(1).deferred_);
+  CHECK(events->at(1).value_.empty());
+  CHECK(cache.Missing().empty());
+  REQUIRE(cache.ValueOf("config", 3) != nullptr);
+  CHECK(cache.ValueOf("config", 3)->revision_ == 4);
+  CHECK(cache.ValueOf("config", 5) == nullptr);
+  SECTION("a deferred value is missing until it arrives")
+  {
+    CHECK(cache.Add({ deferred("config", 6) }, 6).size() == 1);
+    CHECK(cache.Missing() == ViewCache::Revisions{ { "config", 6 } });
+    CHECK(cache.ValueOf("config", 6) == nullptr);
+    CHECK(cache.ValueOf("config", 4) != nullptr);
+    CHECK(cache.SetValue(large("config", 5)));
+    CHECK(cache.Missing().count("config") == 1);
+    CHECK_FALSE(cache.SetValue(large("config", 5)));
+    CHECK(cache.SetValue(large("config", 7)));
+    CHECK(cache.Missing().empty());
+    CHECK_FALSE(cache.SetValue(large("config", 8)));
+    // The event of the value that is already known.
+    cache.Add({ deferred("config", 7) }, 7);
+    CHECK(cache.Missing().empty());
+  }
+  SECTION("a complete read brings a missing value")
+  {
+    cache.Add({ deferred("config", 6) }, 6);
+    const auto changes =
+      cache.Replace({ large("config", 6), Item("server", 3) }, 6);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().key_ == "config");
+    CHECK(cache.Missing().empty());
+    CHECK(cache.EventsSince(4)->size() == 1);
+  }
+  SECTION("a complete read that began earlier does not hide a newer event")
+  {
+    cache.Add({ deferred("config", 8) }, 8);
+    cache.Replace({ large("config", 6), Item("server", 3) }, 7);
+    CHECK(cache.Missing() == ViewCache::Revisions{ { "config", 8 } });
+    REQUIRE(cache.EventsSince(7)->size() == 1);
+    CHECK(cache.EventsSince(7)->front().revision_ == 8);
+  }
+  SECTION("a removed or small value is not missing")
+  {
+    cache.Add({ deferred("config", 6), deferred("other", 7) }, 7);
+    cache.Add({ Item("config", 8, true), Item("other", 9) }, 9);
+    CHECK(cache.Missing().empty());
+    CHECK(cache.ValueOf("config", 1) == nullptr);
+  }
+  SECTION("the size of the kept values is limited")
+  {
+    cache.Add({ large("second", 5), large("third", 6) }, 6);
+    CHECK(cache.ValueOf("config", 1) == nullptr);
+    CHECK(cache.ValueOf("second", 5) != nullptr);
+    CHECK(cache.ValueOf("third", 6) != nullptr);
+  }
+}
+
+// Guards against a view that is said to be confirmed at a time at which the
+// store had a newer value, and against one that is not confirmed at all while
+// new values come faster than they can be received.
+TEST_CASE("A view with a pending value is confirmed up to its last value")
+{
+  using Missing = PendingValues::Missing;
+  PendingValues pending;
+  pending.Confirmed(At(1), {});
+  CHECK(pending.ConfirmedAt() == At(1));
+  pending.Confirmed(At(2), { { "config", 10 } });
+  const auto requests = pending.TakeRequests();
+  REQUIRE(requests.size() == 1);
+  CHECK(requests.front().key_ == "config");
+  CHECK(requests.front().revision_ == 10);
+  CHECK(pending.TakeRequests().empty());
+  CHECK(pending.ConfirmedAt() == At(1));
+  SECTION("the value confirms the view as far as it was the newest")
+  {
+    pending.Confirmed(At(3), Missing{ { "config", 10 } });
+    pending.Confirmed(At(4), Missing{ { "config", 12 } });
+    pending.Received("config", 10);
+    CHECK(pending.ConfirmedAt() == At(3));
+    REQUIRE(pending.TakeRequests().size() == 1);
+    pending.Confirmed(At(5), Missing{ { "config", 12 } });
+    // The response to the first request does not answer the second one.
+    pending.Received("config", 10);
+    CHECK(pending.ConfirmedAt() == At(3));
+    pending.Received("config", 12);
+    CHECK(pending.ConfirmedAt() == At(5));
+  }
+  SECTION("a newer value than the requested one confirms the whole view")
+  {
+    pending.Confirmed(At(4), Missing{ { "config", 12 } });
+    pending.Received("config", 13);
+    CHECK(pending.ConfirmedAt() == At(4));
+  }
+  SECTION("a failed request is sent again")
+  {
+    pending.Failed("config");
+    CHECK(pending.ConfirmedAt() == At(1));
+    const auto repeated = pending.TakeRequests();
+    REQUIRE(repeated.size() == 1);
+    CHECK(repeated.front().failures_ == 1);
+  }
+  SECTION("a value that is no longer missing ends the wait")
+  {
+    pending.Confirmed(At(3), {});
+    CHECK(pending.ConfirmedAt() == At(3));
+  }
+  SECTION("each pending value limits the confirmation")
+  {
+    pending.Confirmed(At(3), Missing{ { "config", 10 }, { "other", 11 } });
+    pending.Received("config", 10);
+    CHECK(pending.ConfirmedAt() == At(2));
+  }
+}
+
 // Guards against accepting malformed or truncated responses.
 TEST_CASE("Truncated and malformed view responses are rejected")
 {
   ViewResponse response;
   response.status_ = KvStatus::Done;
   response.events_ = { Item("configuration", 8), Item("server", 9, true) };
+  KvItem deferred;
+  deferred.key_ = "large";
+  deferred.revision_ = 9;
+  deferred.deferred_ = true;
+  response.events_.push_back(deferred);
   response.events_[0].value_ = std::string("\xff\x00{", 3);
   response.revision_ = 9;
   response.confirmedOffset_ = -std::chrono::milliseconds(250);
@@ -372,7 +550,10 @@
   const auto read = DecodeViewResponse(whole);
   REQUIRE(read);
   CHECK(read->status_ == KvStatus::Done);
-  REQUIRE(read->events_.size() == 2);
+  REQUIRE(read->events_.size() == 3);
+  CHECK(read->events_[2].deferred_);
+  CHECK_FALSE(read->events_[2].removed_);
+  CHECK_FALSE(read->events_[1].deferred_);
   CHECK(read->events_[0].value_ == response.events_[0].value_);
   CHECK_FALSE(read->events_[0].removed_);
   CHECK(read->events_[1].removed_);
@@ -406,6 +587,9 @@
     with("events",
          json::array(
            { { { "key", "k" }, { "revision", 2 }, { "value", "text" } } })),
+    with("events",
+         json::array(
+           { { { "key", "k" }, { "revision", 2 }, { "deferred", 1 } } })),
   };
   for (const json& row : rows) {
     INFO(row);
@@ -414,3 +598,22 @@
     CHECK_FALSE(DecodeViewResponse(bytes));
   }
 }
+
+// Guards against accepting malformed or truncated values.
+TEST_CASE("Truncated and malformed values are rejected")
+{
+  KvItem item = Item("configuration", 8);
+  item.value_ = std::string("\xff\x00{", 3);
+  const std::string whole = EncodeViewValue(item);
+  const auto read = DecodeViewValue(whole);
+  REQUIRE(read);
+  CHECK(read->key_ == item.key_);
+  CHECK(read->value_ == item.value_);
+  CHECK(read->revision_ == 8);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK_FALSE(DecodeViewValue(whole.substr(0, size)));
+  }
+  item.deferred_ = true;
+  CHECK_FALSE(DecodeViewValue(EncodeViewValue(item)));
+  CHECK_FALSE(DecodeViewValue(EncodeViewValue(Item("configuration", 9, true))));
+}
