--- a/src/gateway/ViewFeed.cc
+++ b/src/gateway/ViewFeed.cc
@@ -131,6 +131,15 @@
   ViewConfirmation confirmation_;
   // The cache's revision when it was last published.
   std::uint64_t publishedRevision_ = 0;
+  // The last response to a request for a value. All followers request the same
+  // one after a change.
+  struct EncodedValue
+  {
+    std::string key_;
+    std::uint64_t revision_ = 0;
+    std::string bytes_;
+  };
+  EncodedValue encoded_;
   std::unique_ptr<HttpServer> server_;
 };
 
@@ -250,9 +259,13 @@
     aPending.reply_->Send({ 404, {}, "" });
     return;
   }
-  aPending.reply_->Send({ 200,
-                          { { "Content-Type", "application/cbor" } },
-                          EncodeViewValue(*value) });
+  const bool encoded =
+    encoded_.key_ == value->key_ && encoded_.revision_ == value->revision_;
+  if (!encoded) {
+    encoded_ = { value->key_, value->revision_, EncodeViewValue(*value) };
+  }
+  aPending.reply_->Send(
+    { 200, { { "Content-Type", "application/cbor" } }, encoded_.bytes_ });
 }
 
 void
--- a/src/gateway/ViewMessages.cc
+++ b/src/gateway/ViewMessages.cc
@@ -1,6 +1,7 @@
 #include "gateway/ViewMessages.h"
 
 #include "base/BoundedJson.h"
+#include "base/Deflate.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,8 @@
 
 // A map that contains a list of maps.
 constexpr int kMaxDepth = 4;
+// The largest decompressed value that is accepted.
+constexpr std::size_t kMaxValueBytes = 4 << 20;
 constexpr std::chrono::microseconds kMaxAge = std::chrono::hours(24);
 
 std::int64_t
@@ -115,8 +118,15 @@
 std::string
 EncodeViewValue(const KvItem& aItem)
 {
+  const std::string deflated = Deflate(aItem.value_);
+  const json message{ { "key", aItem.key_ },
+                      { "revision", aItem.revision_ },
+                      { "size", aItem.value_.size() },
+                      { "deflated",
+                        json::binary(std::vector<std::uint8_t>(
+                          deflated.begin(), deflated.end())) } };
   std::string bytes;
-  json::to_cbor(ToJson(aItem), bytes);
+  json::to_cbor(message, bytes);
   return bytes;
 }
 
@@ -128,9 +138,22 @@
     if (!message || !message->is_object()) {
       return std::nullopt;
     }
-    KvItem item = ToItem(*message);
-    const bool complete = !item.deferred_ && !item.removed_;
-    return complete ? std::optional(std::move(item)) : std::nullopt;
+    KvItem item;
+    item.key_ = message->at("key").get<std::string>();
+    item.revision_ = message->at("revision").get<std::uint64_t>();
+    const auto size = message->at("size").get<std::size_t>();
+    if (size > kMaxValueBytes) {
+      return std::nullopt;
+    }
+    const json::binary_t& deflated = message->at("deflated").get_binary();
+    auto value = Inflate(
+      { reinterpret_cast<const char*>(deflated.data()), deflated.size() },
+      size);
+    if (!value) {
+      return std::nullopt;
+    }
+    item.value_ = std::move(*value);
+    return item;
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/src/gateway/ViewMessages.h
+++ b/src/gateway/ViewMessages.h
@@ -48,7 +48,7 @@
 std::optional<ViewResponse>
 DecodeViewResponse(const std::string& aBytes);
 
-// The response to a request for a large value.
+// The response to a request for a large value, which is compressed.
 std::string
 EncodeViewValue(const KvItem& aItem);
 
--- a/src/gateway/testing/ViewTest.cc
+++ b/src/gateway/testing/ViewTest.cc
@@ -613,7 +613,25 @@
   for (std::size_t size = 0; size < whole.size(); ++size) {
     CHECK_FALSE(DecodeViewValue(whole.substr(0, size)));
   }
-  item.deferred_ = true;
-  CHECK_FALSE(DecodeViewValue(EncodeViewValue(item)));
-  CHECK_FALSE(DecodeViewValue(EncodeViewValue(Item("configuration", 9, true))));
+  const json valid = json::from_cbor(whole);
+  const auto with = [&](const char* aField, const json& aValue) {
+    json message = valid;
+    message[aField] = aValue;
+    return message;
+  };
+  constexpr std::size_t kTooLarge = std::size_t{ 1 } << 40U;
+  const json rows[] = { json::array(),
+                        with("key", 1),
+                        with("revision", "eight"),
+                        with("size", item.value_.size() + 1),
+                        with("size", kTooLarge),
+                        with("size", -1),
+                        with("deflated", "text"),
+                        with("deflated", json::binary({ 255, 255 })) };
+  for (const json& row : rows) {
+    INFO(row);
+    std::string bytes;
+    json::to_cbor(row, bytes);
+    CHECK_FALSE(DecodeViewValue(bytes));
+  }
 }
