--- a/src/gateway/ControlLoop.cc
+++ b/src/gateway/ControlLoop.cc
@@ -13,20 +13,13 @@
 
 namespace {
 
-// A delayed write is at most this far behind. An entry that is further behind
-// follows one whose sequence was wrong.
-constexpr std::uint64_t kMaxSequenceLag = 10000;
-
-// Values of this size make a response noticeably larger.
-constexpr std::size_t kLargeValueBytes = 16 << 10;
-
 // Returns whether the items contain several versions of a large value.
 bool
 HasSupersededLargeValue(const KvItems& aItems)
 {
   std::set<std::string_view> keys;
   for (const KvItem& item : aItems.items_) {
-    const bool large = item.value_.size() >= kLargeValueBytes;
+    const bool large = item.value_.size() > kMaxInlineValueBytes;
     if (large && !keys.insert(item.key_).second) {
       return true;
     }
@@ -34,23 +27,10 @@
   return false;
 }
 
-// Returns whether the record was written before another one of its server.
-bool
-IsOutdated(const InstanceRecord& aRecord, const InstanceRecord& aOther)
-{
-  if (aRecord.born_ != aOther.born_) {
-    return aRecord.born_ < aOther.born_;
-  }
-  return aRecord.sequence_ < aOther.sequence_ &&
-         aOther.sequence_ - aRecord.sequence_ <= kMaxSequenceLag;
-}
-
 }
 
 struct ControlLoop::Impl : public std::enable_shared_from_this<Impl>
 {
-  using Kind = ControlCodec::Kind;
-
   Impl(asio::io_context& aContext,
        KvStore& aStore,
        ControlCodec aCodec,
@@ -90,14 +70,9 @@
   StoreAvailabilityOptions MakeAvailabilityOptions() const;
   RegistrationOptions MakeRegistrationOptions();
 
-  void ApplyEvents(const std::vector<KvItem>& aItems);
-  void Apply(const KvItem& aItem);
-  void ApplyConfiguration(const KvItem& aItem);
-  void ApplyInstance(const std::string& aId, const KvItem& aItem);
-  void ApplyHost(const std::string& aName, const KvItem& aItem);
-  void RemoveInstance(const std::string& aId);
-  void DelayRemoval(const std::string& aId, TimePoint aUntil);
-  void RemoveUnlessReregistered(const std::string& aId, TimePoint aUntil);
+  FleetViewHooks MakeViewHooks();
+  // Removes the server at that time unless it registers again.
+  void OnRemovalDelayed(const std::string& aId, TimePoint aUntil);
   void Publish();
 
   asio::io_context& context_;
@@ -106,12 +81,11 @@
   ControlOptions options_;
   ControlHooks hooks_;
 
-  FleetSnapshot view_;
+  FleetView view_;
   FleetSnapshotPtr snapshot_;
   TimePoint confirmedAt_ = TimePoint::min();
   // The neighbour that confirmed the view; empty for the store.
   std::string confirmedBy_;
-  bool changed_ = false;
   bool firstReadStarted_ = false;
   // All changes up to this revision have been read.
   std::uint64_t revision_ = 0;
@@ -124,9 +98,6 @@
   // The neighbour that responded last.
   std::string neighbourAddress_;
   ViewSources sources_;
-  // Instances that disappeared from the store around an outage, and the time
-  // until which they may register again.
-  std::map<std::string, TimePoint> missing_;
   StoreAvailability availability_;
   HostRegistration registration_;
 };
@@ -141,6 +112,7 @@
   , codec_(std::move(aCodec))
   , options_(std::move(aOptions))
   , hooks_(std::move(aHooks))
+  , view_(codec_, options_.name_, MakeViewHooks())
   , sources_(options_.name_, options_.region_, options_.sources_)
   , availability_(MakeAvailabilityOptions())
   , registration_(aContext,
@@ -159,6 +131,22 @@
   return options;
 }
 
+FleetViewHooks
+ControlLoop::Impl::MakeViewHooks()
+{
+  FleetViewHooks hooks;
+  hooks.onOwnRecord_ = [this](std::uint64_t aRevision) {
+    registration_.OnStoredRevision(aRevision);
+  };
+  hooks.keepUntil_ = [this](TimePoint aNow) {
+    return availability_.KeepUntil(aNow);
+  };
+  hooks.onDelayed_ = [this](const std::string& aId, TimePoint aUntil) {
+    OnRemovalDelayed(aId, aUntil);
+  };
+  return hooks;
+}
+
 RegistrationOptions
 ControlLoop::Impl::MakeRegistrationOptions()
 {
@@ -253,7 +241,7 @@
 void
 ControlLoop::Impl::OnReadComplete()
 {
-  ApplyEvents(cache_.Replace(std::move(readItems_), firstRevision_));
+  view_.Apply(cache_.Replace(std::move(readItems_), firstRevision_));
   readItems_.clear();
   revision_ = std::max(revision_, firstRevision_);
   Confirm(readStartedAt_, "");
@@ -328,7 +316,7 @@
     ReadAll();
     return;
   }
-  ApplyEvents(cache_.Add(aItems.items_, aItems.revision_));
+  view_.Apply(cache_.Add(aItems.items_, aItems.revision_));
   revision_ = std::max(revision_, aItems.revision_);
   Confirm(aSentAt, "");
   const Duration elapsed = BootClock::now() - aSentAt;
@@ -400,7 +388,7 @@
     LogEvent(Event::StoreReachable);
   }
   neighbourAddress_ = aSource.address_;
-  ApplyEvents(cache_.Add(aResponse.events_, aResponse.revision_));
+  view_.Apply(cache_.Add(aResponse.events_, aResponse.revision_));
   revision_ = aResponse.revision_;
   Confirm(confirmedAt, aSource.host_);
   FollowAfterInterval(aSentAt);
@@ -479,7 +467,7 @@
     return;
   }
   if (cache_.SetValue(*aItem)) {
-    ApplyEvents({ *aItem });
+    view_.Apply({ *aItem });
   }
   pendingValues_.Received(aKey, aItem->revision_);
   confirmedAt_ = pendingValues_.ConfirmedAt();
@@ -487,119 +475,9 @@
   FetchValues();
 }
 
-// If several configurations arrived together, only the last one is applied.
-// Deferred events are applied when their value arrives.
 void
-ControlLoop::Impl::ApplyEvents(const std::vector<KvItem>& aItems)
-{
-  const KvItem* configuration = nullptr;
-  for (const KvItem& item : aItems) {
-    if (!item.deferred_ &&
-        codec_.classify_(item.key_).kind_ == Kind::Configuration) {
-      configuration = &item;
-    }
-  }
-  for (const KvItem& item : aItems) {
-    if (item.deferred_) {
-      continue;
-    }
-    const bool superseded = configuration != nullptr &&
-                            item.key_ == configuration->key_ &&
-                            &item != configuration;
-    if (!superseded) {
-      Apply(item);
-    }
-  }
-}
-
-void
-ControlLoop::Impl::Apply(const KvItem& aItem)
-{
-  const ControlCodec::Key key = codec_.classify_(aItem.key_);
-  switch (key.kind_) {
-    case Kind::Configuration:
-      ApplyConfiguration(aItem);
-      break;
-    case Kind::Instance:
-      ApplyInstance(key.name_, aItem);
-      break;
-    case Kind::Evacuation: {
-      const bool changed = aItem.removed_
-                             ? view_.evacuated_.erase(key.name_) > 0
-                             : view_.evacuated_.insert(key.name_).second;
-      if (changed) {
-        changed_ = true;
-        LogEvent(Event::EvacuationChanged,
-                 { { "failure_domain", key.name_ },
-                   { "evacuated", aItem.removed_ ? 0 : 1 },
-                   { "revision", aItem.revision_ } });
-      }
-      break;
-    }
-    case Kind::Host:
-      ApplyHost(key.name_, aItem);
-      break;
-    case Kind::Other:
-      break;
-  }
-}
-
-void
-ControlLoop::Impl::ApplyConfiguration(const KvItem& aItem)
-{
-  if (aItem.removed_) {
-    return;
-  }
-  std::string reason;
-  const TimePoint startedAt = BootClock::now();
-  const RoutingTablePtr table = codec_.decodeTable_(aItem.value_, reason);
-  const Duration decodeTime = BootClock::now() - startedAt;
-  if (!table) {
-    LogEvent(Event::ConfigurationRefused,
-             { { "reason", reason }, { "revision", aItem.revision_ } });
-    return;
-  }
-  const std::uint64_t current = view_.table_ ? view_.table_->Version() : 0;
-  if (table->Version() < current) {
-    LogEvent(Event::ConfigurationReverted,
-             { { "version", table->Version() }, { "in_force", current } });
-    return;
-  }
-  if (table->Version() == current && view_.table_) {
-    return;
-  }
-  view_.table_ = table;
-  changed_ = true;
-  LogEvent(Event::ConfigurationInForce,
-           { { "version", table->Version() },
-             { "revision", aItem.revision_ },
-             { "bytes", aItem.value_.size() },
-             { "decode_ms", ToMilliseconds(decodeTime) } });
-}
-
-void
-ControlLoop::Impl::RemoveInstance(const std::string& aId)
+ControlLoop::Impl::OnRemovalDelayed(const std::string& aId, TimePoint aUntil)
 {
-  const TimePoint now = BootClock::now();
-  if (view_.instances_.count(aId) == 0) {
-    return;
-  }
-  if (const auto until = availability_.KeepUntil(now)) {
-    DelayRemoval(aId, *until);
-    return;
-  }
-  view_.instances_.erase(aId);
-  view_.readAt_.erase(aId);
-  changed_ = true;
-}
-
-void
-ControlLoop::Impl::DelayRemoval(const std::string& aId, TimePoint aUntil)
-{
-  // Another outage does not extend the deadline.
-  if (!missing_.try_emplace(aId, aUntil).second) {
-    return;
-  }
   const TimePoint now = BootClock::now();
   LogEvent(
     Event::ServerRemovalDelayed,
@@ -609,86 +487,19 @@
       { "store_silence_ms", ToMilliseconds(availability_.LastSilence()) },
       { "reachable", availability_.IsReachable() ? 1 : 0 } });
   After(aUntil - now, [aId, aUntil](Impl& aSelf) {
-    aSelf.RemoveUnlessReregistered(aId, aUntil);
-  });
-}
-
-// Removes a backend server that did not register again after the store's
-// recovery.
-void
-ControlLoop::Impl::RemoveUnlessReregistered(const std::string& aId,
-                                            TimePoint aUntil)
-{
-  const auto found = missing_.find(aId);
-  if (found == missing_.end() || found->second != aUntil) {
-    return;
-  }
-  missing_.erase(found);
-  view_.instances_.erase(aId);
-  view_.readAt_.erase(aId);
-  changed_ = true;
-  Publish();
-}
-
-void
-ControlLoop::Impl::ApplyInstance(const std::string& aId, const KvItem& aItem)
-{
-  if (aItem.removed_) {
-    RemoveInstance(aId);
-    return;
-  }
-  std::string reason;
-  const auto record = codec_.decodeInstance_(aId, aItem.value_, reason);
-  if (!record) {
-    LogEvent(Event::InstanceRecordRefused,
-             { { "server", aId }, { "reason", reason } });
-    missing_.erase(aId);
-    if (view_.instances_.erase(aId) > 0) {
-      view_.readAt_.erase(aId);
-      changed_ = true;
+    if (aSelf.view_.ExpireDelayed(aId, aUntil)) {
+      aSelf.Publish();
     }
-    return;
-  }
-  missing_.erase(aId);
-  const auto known = view_.instances_.find(aId);
-  if (known != view_.instances_.end()) {
-    const InstanceRecord& old = known->second;
-    if (IsOutdated(*record, old)) {
-      return;
-    }
-  }
-  view_.instances_[aId] = *record;
-  view_.readAt_[aId] = BootClock::now();
-  changed_ = true;
-}
-
-void
-ControlLoop::Impl::ApplyHost(const std::string& aName, const KvItem& aItem)
-{
-  if (aName == options_.name_) {
-    registration_.OnStoredRevision(aItem.removed_ ? 0 : aItem.revision_);
-  }
-  if (aItem.removed_) {
-    changed_ = view_.hosts_.erase(aName) > 0 || changed_;
-    return;
-  }
-  const auto host = DecodeHostRecord(aName, aItem.value_);
-  if (!host) {
-    LogEvent(Event::HostRecordRefused, { { "name", aName } });
-    return;
-  }
-  view_.hosts_[aName] = *host;
-  changed_ = true;
+  });
 }
 
 void
 ControlLoop::Impl::Publish()
 {
-  if (changed_ || !snapshot_) {
-    changed_ = false;
-    view_.registered_ = view_.hosts_.count(options_.name_) > 0;
-    snapshot_ = std::make_shared<const FleetSnapshot>(view_);
-    sources_.SetHosts(view_.hosts_);
+  const FleetSnapshotPtr snapshot = view_.Snapshot();
+  if (snapshot != snapshot_) {
+    snapshot_ = snapshot;
+    sources_.SetHosts(snapshot_->hosts_);
   }
   hooks_.onView_(snapshot_, confirmedAt_);
   if (hooks_.onConfirmed_) {
--- a/src/gateway/ControlLoop.h
+++ b/src/gateway/ControlLoop.h
@@ -25,7 +25,7 @@
 // single watch follows all keys: a response with a higher revision but no
 // events indicates a gap, after which everything is read again from the store.
 
-#include "gateway/FleetTypes.h"
+#include "gateway/FleetView.h"
 #include "gateway/HostRegistration.h"
 #include "gateway/KvStore.h"
 #include "gateway/PendingValues.h"
@@ -42,36 +42,6 @@
 
 namespace peridotsail {
 
-// Decodes the platform's keys and documents.
-struct ControlCodec
-{
-  enum class Kind
-  {
-    Configuration,
-    Instance,
-    Evacuation,
-    Host,
-    Other,
-  };
-  struct Key
-  {
-    Kind kind_ = Kind::Other;
-    // The instance id, the failure domain or the host name.
-    std::string name_;
-  };
-  std::function<Key(const std::string& aKey)> classify_;
-  // Returns null and sets aReason if the document cannot be used.
-  std::function<RoutingTablePtr(const std::string& aBytes,
-                                std::string& aReason)>
-    decodeTable_;
-  std::function<std::optional<InstanceRecord>(const std::string& aId,
-                                              const std::string& aBytes,
-                                              std::string& aReason)>
-    decodeInstance_;
-  // The key under which a host registers.
-  std::function<std::string(const std::string& aName)> hostKey_;
-};
-
 struct ControlOptions
 {
   // This host's name and region.
--- /dev/null
+++ b/src/gateway/FleetView.h
@@ -0,0 +1,107 @@
+#pragma once
+
+// Builds this host's view of the fleet from the events of the store: the
+// configuration, the backend servers, the evacuations and the other hosts.
+// Performs no I/O.
+//
+//   FleetView view(codec, name, hooks);
+//   view.Apply(events);
+//   FleetSnapshotPtr snapshot = view.Snapshot();
+//
+// A view never goes back to an earlier configuration, or to an earlier record
+// of a backend server.
+
+#include "gateway/FleetTypes.h"
+#include "gateway/KvStore.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotsail {
+
+// Decodes the platform's keys and documents.
+struct ControlCodec
+{
+  enum class Kind
+  {
+    Configuration,
+    Instance,
+    Evacuation,
+    Host,
+    Other,
+  };
+  struct Key
+  {
+    Kind kind_ = Kind::Other;
+    // The instance id, the failure domain or the host name.
+    std::string name_;
+  };
+  std::function<Key(const std::string& aKey)> classify_;
+  // Returns null and sets aReason if the document cannot be used.
+  std::function<RoutingTablePtr(const std::string& aBytes,
+                                std::string& aReason)>
+    decodeTable_;
+  std::function<std::optional<InstanceRecord>(const std::string& aId,
+                                              const std::string& aBytes,
+                                              std::string& aReason)>
+    decodeInstance_;
+  // The key under which a host registers.
+  std::function<std::string(const std::string& aName)> hostKey_;
+};
+
+struct FleetViewHooks
+{
+  // Called with the revision of this host's own record; 0 if it was removed.
+  std::function<void(std::uint64_t aRevision)> onOwnRecord_;
+  // Returns until when a server whose registration was removed is kept, because
+  // the registration may have expired in an outage of the store.
+  std::function<std::optional<TimePoint>(TimePoint aNow)> keepUntil_;
+  // Called when the removal of a server is delayed; ExpireDelayed must be
+  // called at that time.
+  std::function<void(const std::string& aId, TimePoint aUntil)> onDelayed_;
+};
+
+class FleetView
+{
+public:
+  FleetView(const ControlCodec& aCodec,
+            std::string aSelf,
+            FleetViewHooks aHooks);
+
+  // If several configurations are among the events, only the last one is
+  // applied. Deferred events are ignored; they are applied with their value.
+  void Apply(const std::vector<KvItem>& aEvents);
+  // Removes a server that did not register again until the time that was passed
+  // to onDelayed_. Returns false if there is nothing to remove.
+  bool ExpireDelayed(const std::string& aId, TimePoint aUntil);
+  // Returns the same snapshot as before if nothing has changed.
+  FleetSnapshotPtr Snapshot();
+
+private:
+  using Kind = ControlCodec::Kind;
+
+  void ApplyOne(const KvItem& aItem);
+  void ApplyConfiguration(const KvItem& aItem);
+  void ApplyEvacuation(const std::string& aFailureDomain, const KvItem& aItem);
+  void ApplyInstance(const std::string& aId, const KvItem& aItem);
+  void ApplyHost(const std::string& aName, const KvItem& aItem);
+  void RemoveInstance(const std::string& aId);
+  // Returns whether the server was known.
+  bool EraseInstance(const std::string& aId);
+
+  const ControlCodec& codec_;
+  std::string self_;
+  FleetViewHooks hooks_;
+  FleetSnapshot view_;
+  FleetSnapshotPtr snapshot_;
+  bool changed_ = false;
+  // Servers whose removal is delayed, and the time until which they may
+  // register again.
+  std::map<std::string, TimePoint> delayed_;
+};
+
+}
--- a/src/gateway/ViewCache.h
+++ b/src/gateway/ViewCache.h
@@ -27,6 +27,9 @@
 
 namespace peridotsail {
 
+// Larger values are not part of the events that hosts pass on to each other.
+constexpr std::size_t kMaxInlineValueBytes = 16 << 10;
+
 struct ViewCacheOptions
 {
   // Limits on the retained changes: their number and the size of their keys and
@@ -36,7 +39,7 @@
   // Limit on the retained large values.
   std::size_t maxValueBytes_ = 4 << 20;
   // Values above this size are large.
-  std::size_t maxInlineBytes_ = 16 << 10;
+  std::size_t maxInlineBytes_ = kMaxInlineValueBytes;
 };
 
 class ViewCache
