--- a/review/stand-2/ReviewCase.cc
+++ b/review/stand-2/ReviewCase.cc
@@ -149,24 +149,56 @@
 }
 
 std::string
-Caller::ReadUntilSilent(Duration aSilence) const
+Caller::ReadSome(Duration aTime) const
 {
   const auto microseconds =
-    std::chrono::duration_cast<std::chrono::microseconds>(aSilence).count();
+    std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
   constexpr std::int64_t kSecond = 1000000;
   timeval limit{};
   limit.tv_sec = microseconds / kSecond;
   limit.tv_usec = microseconds % kSecond;
   setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  std::string bytes;
   char piece[16384];
+  const ssize_t count = recv(socket_, piece, sizeof(piece), 0);
+  return count <= 0 ? "" : std::string(piece, static_cast<std::size_t>(count));
+}
+
+std::string
+Caller::ReadUntilSilent(Duration aSilence) const
+{
+  std::string bytes;
   while (true) {
-    const ssize_t count = recv(socket_, piece, sizeof(piece), 0);
-    if (count <= 0) {
+    const std::string piece = ReadSome(aSilence);
+    if (piece.empty()) {
+      return bytes;
+    }
+    bytes += piece;
+  }
+}
+
+std::string
+Caller::ReadAnswer(Duration aTime) const
+{
+  constexpr Duration kLeast = std::chrono::milliseconds(1);
+  const TimePoint end = BootClock::now() + aTime;
+  std::string bytes;
+  while (BootClock::now() + kLeast < end) {
+    const std::string piece = ReadSome(end - BootClock::now());
+    if (piece.empty()) {
+      break;
+    }
+    bytes += piece;
+    const std::size_t headEnd = bytes.find("\r\n\r\n");
+    if (headEnd == std::string::npos) {
+      continue;
+    }
+    const std::string length =
+      HeaderOf(bytes.substr(0, headEnd + 4), "Content-Length");
+    if (bytes.size() >= headEnd + 4 + std::stoul("0" + length)) {
       return bytes;
     }
-    bytes.append(piece, static_cast<std::size_t>(count));
   }
+  return "";
 }
 
 void
--- a/review/stand-2/ReviewCase.h
+++ b/review/stand-2/ReviewCase.h
@@ -70,9 +70,15 @@
   bool Send(const std::string& aBytes) const;
   // Reads until the connection ends or is silent for so long.
   std::string ReadUntilSilent(Duration aSilence) const;
+  // Reads one answer with a Content-Length. Returns an empty string if it is
+  // not whole in time.
+  std::string ReadAnswer(Duration aTime) const;
   bool IsOpen() const { return socket_ >= 0; }
 
 private:
+  // Returns no bytes when the connection has ended or the time is over.
+  std::string ReadSome(Duration aTime) const;
+
   int socket_ = -1;
 };
 
