--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -23,12 +23,12 @@
 for job in "${jobs[@]}"; do
   wait "$job"
 done
-objects=("$out/ReviewCase.o")
+objects=("$out/ReviewCase.o" "$out/EntryHost.o")
 for source in "${common[@]}"; do
   objects+=("$out/$(basename "$source" .cc).o")
 done
 for source in review/stand-2/*.cc; do
   name=$(basename "$source" .cc)
-  [ "$name" = ReviewCase ] && continue
+  [ "$name" = ReviewCase ] || [ "$name" = EntryHost ] && continue
   g++ -o "$out/$name" "$out/$name.o" "${objects[@]}" "${libraries[@]}"
 done
