--- a/platform/testing/HostileCrowd.cc
+++ b/src/testing/HostileCrowd.cc
@@ -1,11 +1,12 @@
-#include "platform/testing/HostileCrowd.h"
+#include "testing/HostileCrowd.h"
 
 #include "http/HttpTypes.h"
-#include "platform/testing/PlatformFixture.h"
+#include "testing/ProcessGroup.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
+#include <cstdlib>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,6 +20,15 @@
 // The bytes of an answer that are looked at.
 constexpr std::size_t kPeekBytes = 64;
 
+// Returns the status of an answer's first bytes, or 0 if they are none.
+int
+StatusOfPrefix(const std::string& aText)
+{
+  const std::string version = "HTTP/1.1 ";
+  const bool isAnswer = aText.compare(0, version.size(), version) == 0;
+  return isAnswer ? std::atoi(aText.c_str() + version.size()) : 0;
+}
+
 }
 
 struct HostileCrowd::Member
@@ -143,7 +153,7 @@
 {
   return static_cast<int>(
     std::count_if(members_.begin(), members_.end(), [&](const auto& aMember) {
-      return StatusOf(aMember->Peek()) == aStatus;
+      return StatusOfPrefix(aMember->Peek()) == aStatus;
     }));
 }
 
