Keep heads compactly, and account for them from their first byte

Cause: the account counted twice the bytes of a head, from the head's end on. The parser kept each field as an element of its own, 85 bytes for one of 5; complete requests took 64 bytes a field once more. Before a head's end nothing was accounted for but the input buffer beyond 4 KB. An answered request behind an unanswered one kept its fields without a hold, the buffer of a refused connection and the 16 KB that each request reserved for reading its answer were in no account at all.

A connection requests memory for the most that its input can become before the input is parsed, and returns what was not needed. Answers are accounted for with their heads and buffers, and exchanges wait for an answer without a buffer. Input after the last request goes to one buffer for all connections.

Why it works: what is allocated for a head is bounded by three times its bytes and known before it is allocated, so the account's order of waiting, closing and refusing holds for heads as for bodies.

--- a/src/gateway/CallerConnection.cc
+++ b/src/gateway/CallerConnection.cc
@@ -1,12 +1,12 @@
 #include "gateway/PendingRequest.h"
 
+#include <array>
 #include <boost/asio/write.hpp>
 
 namespace peridotsail::detail {
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16 << 10;
 // Bytes of pipelined requests that are buffered while others are in progress,
 // in addition to a request head.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
@@ -133,7 +133,14 @@
 void
 CallerConnection::Read()
 {
-  if (reading_ || closed_ || paused_ || buffer_.size() >= MaxBufferedBytes()) {
+  if (reading_ || closed_ || paused_) {
+    return;
+  }
+  if (readClosed_) {
+    Discard();
+    return;
+  }
+  if (buffer_.size() >= MaxBufferedBytes()) {
     return;
   }
   reading_ = true;
@@ -166,20 +173,43 @@
   if (hold_) {
     hold_->Progress(aSize, lastActivity_);
   }
-  if (!readClosed_) {
-    ParseBuffered();
-    ReserveBuffer();
-  } else {
-    discardedBytes_ += buffer_.size();
-    buffer_.consume(buffer_.size());
-    if (discardedBytes_ > kMaxDiscardedBytes && wroteLastResponse_ &&
-        !writing_) {
-      Close();
-    }
+  ParseBuffered();
+  ReserveBuffer();
+  Read();
+}
+
+void
+CallerConnection::Discard()
+{
+  // Shared by all connections of the thread, since nobody reads its content.
+  thread_local std::array<char, kReadBytes> discarded;
+  reading_ = true;
+  discardedBytes_ += buffer_.size();
+  buffer_ = beast::flat_buffer();
+  socket_.async_read_some(
+    asio::buffer(discarded),
+    [self = shared_from_this()](ErrorCode aError, std::size_t aSize) {
+      self->reading_ = false;
+      if (!self->closed_) {
+        self->OnDiscarded(aError, aSize);
+      }
+    });
+}
+
+void
+CallerConnection::OnDiscarded(const ErrorCode& aError, std::size_t aSize)
+{
+  if (aError) {
+    CancelAll();
+    return;
   }
-  if (!closed_) {
-    Read();
+  lastActivity_ = BootClock::now();
+  discardedBytes_ += aSize;
+  if (discardedBytes_ > kMaxDiscardedBytes && wroteLastResponse_ && !writing_) {
+    Close();
+    return;
   }
+  Read();
 }
 
 void
@@ -213,7 +243,9 @@
   framing_.OnParsed(consumed);
   headBytes_ += hadHead ? 0 : consumed;
   if (error == http::error::need_more) {
-    RejectLongFraming();
+    if (!RejectLongFraming()) {
+      ReleaseUnused();
+    }
     return false;
   }
   if (error == http::error::header_limit) {
@@ -228,8 +260,11 @@
     Reject(400, error.message());
     return false;
   }
-  if (!hadHead && !Reserve()) {
-    return false;
+  if (!hadHead) {
+    ReleaseUnused();
+    if (!Reserve()) {
+      return false;
+    }
   }
   if (parser_->is_done()) {
     OnRequest();
@@ -245,7 +280,7 @@
 bool
 CallerConnection::RejectLongFraming()
 {
-  const std::size_t body = parser_->get().body().Size();
+  const std::size_t body = parser_->Body().Size();
   // Without a bound here, a chunk line that fills the buffer would never be
   // parsed and would wait for the idle timeout.
   const bool tooLong = buffer_.size() >= MaxBufferedBytes() ||
@@ -261,7 +296,7 @@
 {
   const bool expected =
     parser_->is_header_done() && !continueSent_ && pipeline_.empty() &&
-    beast::iequals(parser_->get()[http::field::expect], "100-continue");
+    EqualIgnoreCase(parser_->Head().fields_.Value("Expect"), "100-continue");
   if (!expected) {
     return;
   }
@@ -275,21 +310,23 @@
 void
 CallerConnection::OnRequest()
 {
-  auto& message = parser_->get();
+  const std::size_t bytes = RequestBytes();
+  MessageHead& head = parser_->Head();
   CallerRequest request;
-  request.method_ = std::string(ToView(message.method_string()));
-  request.target_ = std::string(ToView(message.target()));
-  request.host_ = std::string(ToView(message[http::field::host]));
-  request.headers_ = ToHeaders(message);
+  request.method_ = std::move(head.method_);
+  request.target_ = std::move(head.target_);
+  request.host_ = std::string(head.fields_.Value("Host"));
+  request.headers_ = std::move(head.fields_);
   const auto body = std::make_shared<HeldBody>();
-  body->bytes_ = std::move(message.body());
+  body->bytes_ = std::move(parser_->Body());
   body->hold_ = std::move(hold_);
   request.body_ = { body, &body->bytes_ };
   request.arrivedAt_ = BootClock::now();
   if (body->hold_) {
     body->hold_->SetStage(HoldStage::Executing, {}, request.arrivedAt_);
+    body->hold_->Request(bytes, request.arrivedAt_);
   }
-  if (!message.keep_alive()) {
+  if (!parser_->keep_alive()) {
     readClosed_ = true;
   }
   const auto pending =
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -8,8 +8,9 @@
 #include "base/EventLog.h"
 #include "gateway/CallerExchange.h"
 #include "gateway/RoutingTable.h"
-#include "http/BlockBody.h"
+#include "http/BlockBuffer.h"
 #include "http/FramingLimit.h"
+#include "http/MessageParser.h"
 
 #include <deque>
 #include <functional>
@@ -35,8 +36,10 @@
   MemoryPool* memory_ = nullptr;
 };
 
-// Read into the buffer of a connection that waits for a request.
+// Read into the buffer of a connection that waits for a request, and of one
+// that has read a part of it.
 constexpr std::size_t kIdleReadBytes = 4 << 10;
+constexpr std::size_t kReadBytes = 16 << 10;
 // Requests of one connection that may be in progress at the same time.
 constexpr std::size_t kMaxPipelined = 16;
 
@@ -62,10 +65,13 @@
 
 private:
   class PendingRequest;
-  using Parser = http::request_parser<BlockBody>;
+  using Parser = MessageParser<true, BlockBuffer>;
 
   void Read();
   void OnRead(const ErrorCode& aError, std::size_t aSize);
+  // Reads and ignores what follows the last request.
+  void Discard();
+  void OnDiscarded(const ErrorCode& aError, std::size_t aSize);
   void ParseBuffered();
   bool ParseOne();
   // Rejects the request and returns true if its chunk lines, their extensions
@@ -75,7 +81,7 @@
   void NewParser();
   void SendContinue();
   void OnRequest();
-  void RespondLast(int aStatus, HttpHeaders aHeaders);
+  void RespondLast(int aStatus, HeaderFields aHeaders);
   void Reject(int aStatus, const std::string& aReason);
   void WriteNextResponse();
   void StartWrite();
@@ -88,6 +94,12 @@
   // reading must pause or the request was refused.
   bool Reserve();
   std::size_t BytesToReserve() const;
+  // The memory of the current request, without the buffered input.
+  std::size_t RequestBytes() const;
+  // The memory of the input buffer, as it is when the next read is pending.
+  std::size_t InputBytes() const;
+  // Returns the memory that an unfinished or complete head does not need.
+  void ReleaseUnused();
   void ReserveBuffer();
   void OnMemory(MemoryNotice aNotice);
   // Answers the unfinished request, for which there is no memory.
--- a/src/gateway/CallerConnectionMemory.cc
+++ b/src/gateway/CallerConnectionMemory.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-// What a request needs beyond its body and twice its head.
-constexpr std::size_t kRequestBytes = 2 << 10;
+// What a request needs while it is handled, beyond its head and its body.
+constexpr std::size_t kRequestBytes = 4 << 10;
 // What a body of unknown length reserves first.
 constexpr std::size_t kMinBodyBytes = 4 << 10;
 // The receive buffer of a connection that waits for memory.
@@ -37,19 +37,51 @@
 std::size_t
 CallerConnection::BytesToReserve() const
 {
-  // The buffer of an idle connection is not worth a hold.
-  const std::size_t buffered =
-    buffer_.size() > kIdleReadBytes ? buffer_.capacity() : 0;
-  if (!parser_->is_header_done()) {
-    return buffered;
+  if (parser_->is_header_done()) {
+    return InputBytes() + RequestBytes();
   }
+  const std::size_t unparsed =
+    std::min(buffer_.size(), hooks_.limits_().maxHeaderBytes_);
+  return InputBytes() + parser_->Head().MaxBytesAfter(unparsed);
+}
+
+std::size_t
+CallerConnection::InputBytes() const
+{
+  // The small buffer of an idle connection is not worth a hold.
+  if (!headerSince_ && buffer_.size() == 0) {
+    return 0;
+  }
+  const std::size_t needed = buffer_.size() + kReadBytes;
+  if (needed <= buffer_.capacity()) {
+    return buffer_.capacity();
+  }
+  // The buffer doubles when it grows.
+  return std::max(needed, 2 * buffer_.size());
+}
+
+std::size_t
+CallerConnection::RequestBytes() const
+{
   std::size_t body =
     static_cast<std::size_t>(parser_->content_length().value_or(0));
-  if (parser_->chunked()) {
-    body = BytesToGrow(parser_->get().body().CapacityAfter(buffer_.size()),
+  if (parser_->is_done()) {
+    body = parser_->Body().CapacityAfter(0);
+  } else if (parser_->chunked()) {
+    body = BytesToGrow(parser_->Body().CapacityAfter(buffer_.size()),
                        hooks_.limits_().maxBodyBytes_);
   }
-  return buffered + kRequestBytes + 2 * headBytes_ + body;
+  // Each attempt builds the head that the server gets.
+  return kRequestBytes + parser_->Head().Bytes() + 2 * headBytes_ + body;
+}
+
+void
+CallerConnection::ReleaseUnused()
+{
+  const std::size_t bytes = BytesToReserve();
+  if (hold_ && !paused_ && bytes < hold_->Bytes()) {
+    hold_->Request(bytes, BootClock::now());
+  }
 }
 
 bool
@@ -119,7 +151,7 @@
   }
   LogEvent(aEvent,
            { { "bytes", hold_ ? hold_->Bytes() : 0 },
-             { "received", parser_->get().body().Size() } });
+             { "received", parser_->Body().Size() } });
   RespondLast(503, { { "Retry-After", kMemoryRetryAfter } });
   Read();
 }
--- a/src/gateway/CallerConnectionWrite.cc
+++ b/src/gateway/CallerConnectionWrite.cc
@@ -10,7 +10,7 @@
 // Answers a request that was not received completely, and closes the connection
 // after it.
 void
-CallerConnection::RespondLast(int aStatus, HttpHeaders aHeaders)
+CallerConnection::RespondLast(int aStatus, HeaderFields aHeaders)
 {
   readClosed_ = true;
   DropInput();
--- a/src/gateway/CallerExchange.cc
+++ b/src/gateway/CallerExchange.cc
@@ -2,8 +2,6 @@
 
 #include "http/BeastTypes.h"
 
-#include <sstream>
-
 namespace peridotsail::detail {
 
 namespace {
@@ -20,21 +18,25 @@
 std::string
 SerializeHead(CallerResponse& aResponse, const std::string& aMethod)
 {
-  http::response<http::empty_body> response;
-  response.version(11);
-  response.result(static_cast<unsigned>(aResponse.status_));
-  SetHeaders(response, aResponse.headers_);
+  const auto status = static_cast<http::status>(aResponse.status_);
+  std::string head = "HTTP/1.1 " + std::to_string(aResponse.status_) + ' ';
+  head.append(ToView(http::obsolete_reason(status))).append("\r\n");
+  const auto add = [&head](std::string_view aName, std::string_view aValue) {
+    head.append(aName).append(": ").append(aValue).append("\r\n");
+  };
+  for (const HeaderField field : aResponse.headers_) {
+    add(field.name_, field.value_);
+  }
   if (BodyAllowed(aMethod, aResponse.status_)) {
-    response.content_length(aResponse.body_ ? aResponse.body_->Size() : 0);
+    add("Content-Length",
+        std::to_string(aResponse.body_ ? aResponse.body_->Size() : 0));
   } else {
     aResponse.body_.reset();
   }
   if (aResponse.close_) {
-    response.set(http::field::connection, "close");
+    add("Connection", "close");
   }
-  std::ostringstream head;
-  head << response.base();
-  return head.str();
+  return head + "\r\n";
 }
 
 }
--- a/src/gateway/CallerExchange.h
+++ b/src/gateway/CallerExchange.h
@@ -5,7 +5,7 @@
 
 #include "base/BootClock.h"
 #include "http/BlockBuffer.h"
-#include "http/HttpTypes.h"
+#include "http/HeaderFields.h"
 #include "memory/MemoryPool.h"
 
 #include <functional>
@@ -19,8 +19,8 @@
   std::string method_;
   std::string target_;
   std::string host_;
-  HttpHeaders headers_;
-  // Holds its memory as long as anyone uses it.
+  HeaderFields headers_;
+  // Holds the memory of the whole request as long as anyone uses it.
   std::shared_ptr<const BlockBuffer> body_;
   TimePoint arrivedAt_;
 };
@@ -28,10 +28,10 @@
 struct CallerResponse
 {
   int status_ = 503;
-  HttpHeaders headers_;
+  HeaderFields headers_;
   // Null if there is no body.
   std::shared_ptr<const BlockBuffer> body_;
-  // The memory of the body, or null if it is not accounted for.
+  // The memory of the response, or null if it is not accounted for.
   std::shared_ptr<MemoryHold> hold_;
   // Closes the connection after this response.
   bool close_ = false;
@@ -42,7 +42,7 @@
 {
 public:
   virtual ~CallerExchange() = default;
-  // The body is released by the response.
+  // The headers and the body are released by the response.
   virtual const CallerRequest& Request() const = 0;
   // Returns whether all earlier requests of the connection have been answered.
   virtual bool IsFront() const = 0;
--- a/src/gateway/PendingRequest.h
+++ b/src/gateway/PendingRequest.h
@@ -33,6 +33,7 @@
     }
     response_ = std::move(aResponse);
     callbacks_ = {};
+    request_.headers_ = {};
     request_.body_.reset();
     if (const auto connection = connection_.lock()) {
       connection->WriteNextResponse();
--- a/src/gateway/RequestFlow.cc
+++ b/src/gateway/RequestFlow.cc
@@ -53,8 +53,7 @@
 {
   flow_.metrics_.requests_.Add(1);
   const CallerRequest& request = caller_->Request();
-  requestId_ =
-    HeaderOrEmpty(request.headers_, flow_.options_.headers_.requestId_);
+  requestId_ = request.headers_.Value(flow_.options_.headers_.requestId_);
   CallerHooks::RequestCallbacks callbacks;
   callbacks.onDisconnect_ = [self = shared_from_this()] {
     self->OnCallerDisconnected();
@@ -157,8 +156,7 @@
     Refuse(503, "keys-not-fresh", flow_.options_.retryAfter_);
     return false;
   }
-  const std::string text =
-    HeaderOrEmpty(caller_->Request().headers_, "Authorization");
+  const std::string text(caller_->Request().headers_.Value("Authorization"));
   const std::string scheme = flow_.options_.headers_.keyScheme_ + " ";
   if (text.compare(0, scheme.size(), scheme) == 0) {
     customer_ = table_->FindCustomer(text.substr(scheme.size()));
@@ -327,8 +325,8 @@
 {
   const CallerRequest& request = caller_->Request();
   Duration limit = kDefaultDeadline;
-  const std::string text =
-    HeaderOrEmpty(request.headers_, flow_.options_.headers_.deadline_);
+  const std::string_view text =
+    request.headers_.Value(flow_.options_.headers_.deadline_);
   std::int64_t milliseconds = 0;
   const auto parsed =
     std::from_chars(text.data(), text.data() + text.size(), milliseconds);
@@ -526,8 +524,7 @@
   CallerResponse response;
   response.status_ = aStatus;
   if (!requestId_.empty()) {
-    response.headers_.push_back(
-      { flow_.options_.headers_.requestId_, requestId_ });
+    response.headers_.Add(flow_.options_.headers_.requestId_, requestId_);
   }
   if (aRetryAfter > Duration::zero()) {
     Duration wait = aRetryAfter;
@@ -540,7 +537,7 @@
     }
     char text[32];
     std::snprintf(text, sizeof(text), "%.3f", ToSeconds(wait));
-    response.headers_.push_back({ "Retry-After", text });
+    response.headers_.Add("Retry-After", text);
   }
   Finish(std::move(response), aReason);
 }
--- a/src/gateway/RequestHeaders.cc
+++ b/src/gateway/RequestHeaders.cc
@@ -3,6 +3,7 @@
 #include "http/BeastTypes.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace peridotsail {
 
@@ -33,11 +34,12 @@
 
 // Headers that the Connection header lists are hop-by-hop.
 bool
-IsListedByConnection(const HttpHeaders& aHeaders, std::string_view aName)
+IsListedByConnection(const HeaderFields& aHeaders, std::string_view aName)
 {
-  for (const HttpHeader& header : aHeaders) {
+  for (const HeaderField header : aHeaders) {
     if (EqualIgnoreCase(header.name_, "Connection") &&
-        http::token_list(header.value_)
+        http::token_list(boost::beast::string_view(header.value_.data(),
+                                                   header.value_.size()))
           .exists({ aName.data(), aName.size() })) {
       return true;
     }
@@ -47,23 +49,22 @@
 
 }
 
-HttpHeaders
-EndToEndHeaders(const HttpHeaders& aHeaders)
+HeaderFields
+EndToEndHeaders(const HeaderFields& aHeaders)
 {
-  HttpHeaders endToEnd;
-  for (const HttpHeader& header : aHeaders) {
-    if (!IsHopByHopHeader(header.name_) &&
-        !IsListedByConnection(aHeaders, header.name_)) {
-      endToEnd.push_back(header);
+  HeaderFields endToEnd;
+  for (const HeaderField header : aHeaders) {
+    if (!IsHopByHopHeader(header.name_) && !IsListedByConnection(aHeaders, header.name_)) {
+      endToEnd.Add(header.name_, header.value_);
     }
   }
   return endToEnd;
 }
 
 std::string
-CookieValue(const HttpHeaders& aHeaders, const std::string& aName)
+CookieValue(const HeaderFields& aHeaders, const std::string& aName)
 {
-  for (const HttpHeader& header : aHeaders) {
+  for (const HeaderField header : aHeaders) {
     if (!EqualIgnoreCase(header.name_, "Cookie")) {
       continue;
     }
@@ -84,13 +85,6 @@
   return "";
 }
 
-std::string
-HeaderOrEmpty(const HttpHeaders& aHeaders, const std::string& aName)
-{
-  const std::string* value = FindHeader(aHeaders, aName);
-  return value == nullptr ? "" : *value;
-}
-
 std::string
 HostWithoutPort(const std::string& aHost)
 {
--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -40,6 +40,7 @@
 {
   ErrorCode ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
   const int handle = socket_.native_handle();
   SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds);
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -55,19 +55,13 @@
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
 
-std::string_view
-Field(const http::fields& aFields, const std::string& aName)
-{
-  return ToView(aFields[aName]);
-}
-
 // Returns the timeout of a Keep-Alive header such as "timeout=5, max=100", or
 // zero if there is none.
 Duration
-KeepAliveTimeout(const http::fields& aFields)
+KeepAliveTimeout(const HeaderFields& aFields)
 {
   constexpr std::string_view kName = "timeout=";
-  const std::string_view text = ToView(aFields["Keep-Alive"]);
+  const std::string_view text = aFields.Value("Keep-Alive");
   const std::size_t position = text.find(kName);
   if (position == std::string_view::npos) {
     return Duration::zero();
@@ -179,17 +173,35 @@
   if (paused_) {
     return;
   }
-  connection_->socket_.async_read_some(
-    connection_->buffer_.prepare(kReadBytes),
-    [self = shared_from_this()](ErrorCode aError, std::size_t aSize) {
+  // Without a buffer, because many requests may wait for their servers.
+  connection_->socket_.async_wait(
+    tcp::socket::wait_read, [self = shared_from_this()](ErrorCode aError) {
       if (self->finished_) {
         return;
       }
-      self->connection_->buffer_.commit(aSize);
-      self->OnRead(aError);
+      if (aError) {
+        self->OnRead(aError);
+      } else {
+        self->ReadAvailable();
+      }
     });
 }
 
+void
+ServerExchange::ReadAvailable()
+{
+  beast::flat_buffer& buffer = connection_->buffer_;
+  ErrorCode error;
+  const std::size_t size =
+    connection_->socket_.read_some(buffer.prepare(kReadBytes), error);
+  if (error == asio::error::would_block) {
+    Read();
+    return;
+  }
+  buffer.commit(size);
+  OnRead(error);
+}
+
 void
 ServerExchange::OnRead(const ErrorCode& aError)
 {
@@ -254,7 +266,7 @@
     }
     if (parser_->is_header_done() && HasUnusableStatus()) {
       Finish(ExchangeOutcome::InvalidResponse,
-             "status " + std::to_string(parser_->get().result_int()));
+             "status " + std::to_string(parser_->Head().status_));
       return false;
     }
     if (parser_->is_done() && !OnCompleteResponse()) {
@@ -271,8 +283,8 @@
 bool
 ServerExchange::OnCompleteResponse()
 {
-  const auto& message = parser_->get();
-  const bool interim = message.result_int() / 100 == 1;
+  const MessageHead& message = parser_->Head();
+  const bool interim = message.status_ / 100 == 1;
   if (interim) {
     return SkipMessage();
   }
@@ -289,8 +301,8 @@
 bool
 ServerExchange::HasUnusableStatus()
 {
-  const auto& message = parser_->get();
-  const int status = static_cast<int>(message.result_int());
+  const MessageHead& message = parser_->Head();
+  const int status = message.status_;
   // No request asks for another protocol.
   if (status == kSwitchingProtocols) {
     return true;
@@ -306,16 +318,16 @@
     Finish(ExchangeOutcome::InvalidResponse, "too many other responses");
     return false;
   }
-  framing_.OnMessage(parser_->get().body().Size());
+  framing_.OnMessage(parser_->Body().Size());
   NewParser();
   return true;
 }
 
 // A late response to an earlier request carries that request's id.
 bool
-ServerExchange::IsResponseToRequest(const Parser::value_type& aMessage)
+ServerExchange::IsResponseToRequest(const MessageHead& aMessage)
 {
-  const std::string_view id = Field(aMessage, headers_.requestId_);
+  const std::string_view id = aMessage.fields_.Value(headers_.requestId_);
   if (!id.empty()) {
     return id == request_.requestId_;
   }
@@ -325,13 +337,13 @@
 }
 
 void
-ServerExchange::ClassifyResponse(const Parser::value_type& aMessage)
+ServerExchange::ClassifyResponse(const MessageHead& aMessage)
 {
-  const int status = static_cast<int>(aMessage.result_int());
-  const bool isSigned = !Field(aMessage, headers_.signature_).empty();
+  const int status = aMessage.status_;
+  const bool isSigned = !aMessage.fields_.Value(headers_.signature_).empty();
   // 421: the address now belongs to another server.
   if (status == kMisdirected ||
-      !Field(aMessage, headers_.notExecuted_).empty()) {
+      !aMessage.fields_.Value(headers_.notExecuted_).empty()) {
     ReturnConnection(aMessage);
     Finish(ExchangeOutcome::NotExecuted,
            "status " + std::to_string(status) + ", not executed");
@@ -343,42 +355,45 @@
            "2xx response without a signature");
     return;
   }
-  if (aMessage.count(http::field::content_encoding) > 0) {
+  if (aMessage.fields_.Has("Content-Encoding")) {
     Finish(ExchangeOutcome::InvalidResponse,
            "response with a Content-Encoding");
     return;
   }
+  if (hold_) {
+    hold_->Request(ResponseBytes(), BootClock::now());
+  }
   result_.response_.status_ = status;
-  result_.response_.headers_ = ToHeaders(aMessage);
+  result_.response_.headers_ = aMessage.fields_;
   result_.response_.body_ =
-    std::make_shared<const BlockBuffer>(std::move(parser_->get().body()));
+    std::make_shared<const BlockBuffer>(std::move(parser_->Body()));
   ReturnConnection(aMessage);
   Finish(ExchangeOutcome::Answered, "");
 }
 
 void
-ServerExchange::UpdateLoad(const Parser::value_type& aMessage)
+ServerExchange::UpdateLoad(const MessageHead& aMessage)
 {
   const auto load =
-    ParseReportedLoad(Field(aMessage, headers_.load_), BootClock::now());
+    ParseReportedLoad(aMessage.fields_.Value(headers_.load_), BootClock::now());
   if (load) {
     request_.instance_->queue_.Report(*load);
   }
 }
 
 void
-ServerExchange::UpdateState(const Parser::value_type& aMessage)
+ServerExchange::UpdateState(const MessageHead& aMessage)
 {
-  const int status = static_cast<int>(aMessage.result_int());
+  const int status = aMessage.status_;
   // The response describes the state of another server than the intended one.
   if (status == kMisdirected) {
     return;
   }
-  if (!Field(aMessage, headers_.leaving_).empty()) {
+  if (!aMessage.fields_.Value(headers_.leaving_).empty()) {
     request_.instance_->SetShuttingDown();
   }
   if (status == kUnavailable) {
-    const std::string_view text = ToView(aMessage[http::field::retry_after]);
+    const std::string_view text = aMessage.fields_.Value("Retry-After");
     double seconds = 0;
     const auto parsed =
       std::from_chars(text.data(), text.data() + text.size(), seconds);
@@ -394,7 +409,7 @@
 std::size_t
 ServerExchange::BodyBytes() const
 {
-  const std::size_t read = parser_->get().body().CapacityAfter(0);
+  const std::size_t read = parser_->Body().CapacityAfter(0);
   const std::size_t announced =
     parser_->is_header_done() && !request_.isHeadMethod_
       ? static_cast<std::size_t>(parser_->content_length().value_or(0))
@@ -402,12 +417,20 @@
   return std::max(read, announced);
 }
 
+std::size_t
+ServerExchange::ResponseBytes() const
+{
+  // The head is kept as it was read, as it is forwarded and as it is written.
+  constexpr std::size_t kHeadCopies = 3;
+  return BodyBytes() + kHeadCopies * parser_->Head().Bytes();
+}
+
 bool
 ServerExchange::UpdateBufferedBytes(std::string& aReason)
 {
   const std::size_t unparsed = connection_->buffer_.size();
-  const std::size_t body = parser_->get().body().Size();
-  const std::size_t held = unparsed + BodyBytes();
+  const std::size_t body = parser_->Body().Size();
+  const std::size_t held = connection_->buffer_.capacity() + ResponseBytes();
   const TimePoint now = BootClock::now();
   if (!hold_) {
     hold_ = connections_.Memory().Open(
@@ -457,14 +480,16 @@
 }
 
 void
-ServerExchange::ReturnConnection(const Parser::value_type& aMessage)
+ServerExchange::ReturnConnection(const MessageHead& aMessage)
 {
-  const bool reusable = written_ && aMessage.keep_alive() &&
+  const bool reusable = written_ && parser_->keep_alive() &&
                         !parser_->need_eof() && !unrelatedResponse_ &&
                         connection_->buffer_.size() == 0;
   if (reusable) {
-    connections_.Return(
-      std::move(connection_), KeepAliveTimeout(aMessage), BootClock::now());
+    connection_->buffer_ = beast::flat_buffer();
+    connections_.Return(std::move(connection_),
+                        KeepAliveTimeout(aMessage.fields_),
+                        BootClock::now());
   }
 }
 
--- a/src/gateway/ServerExchange.h
+++ b/src/gateway/ServerExchange.h
@@ -12,8 +12,9 @@
 
 #include "gateway/GatewayHeaders.h"
 #include "gateway/ServerConnections.h"
-#include "http/BlockBody.h"
+#include "http/BlockBuffer.h"
 #include "http/FramingLimit.h"
+#include "http/MessageParser.h"
 
 #include <functional>
 #include <memory>
@@ -42,10 +43,10 @@
 struct ServerResponse
 {
   int status_ = 0;
-  HttpHeaders headers_;
+  HeaderFields headers_;
   // Null if there is no body.
   std::shared_ptr<const BlockBuffer> body_;
-  // The memory of the body.
+  // The memory of the response.
   std::shared_ptr<MemoryHold> hold_;
 };
 
@@ -94,7 +95,7 @@
   bool WasSent() const { return sent_; }
 
 private:
-  using Parser = http::response_parser<BlockBody>;
+  using Parser = MessageParser<false, BlockBuffer>;
 
   void Connect();
   void Send();
@@ -103,17 +104,18 @@
   bool Parse();
   bool OnCompleteResponse();
   // Handles the end of the connection; aError is eof if the server ended it.
+  void ReadAvailable();
   void OnEnd(const ErrorCode& aError);
   // Returns whether the end of the connection ends a response without a length.
   bool EndsResponse();
   // Returns whether the response is one to this request that cannot be used
   // whatever follows its head.
   bool HasUnusableStatus();
-  bool IsResponseToRequest(const Parser::value_type& aMessage);
-  void ClassifyResponse(const Parser::value_type& aMessage);
-  void UpdateLoad(const Parser::value_type& aMessage);
+  bool IsResponseToRequest(const MessageHead& aMessage);
+  void ClassifyResponse(const MessageHead& aMessage);
+  void UpdateLoad(const MessageHead& aMessage);
   // Updates whether the server is shutting down or asked for a pause.
-  void UpdateState(const Parser::value_type& aMessage);
+  void UpdateState(const MessageHead& aMessage);
   // Accounts for the buffered bytes of the response. Returns false and sets
   // aReason if a limit is exceeded.
   std::size_t BodyBytes() const;
@@ -121,8 +123,10 @@
   void OnMemory(MemoryNotice aNotice);
   // Skips an interim response or one to another request. Returns false if there
   // were too many.
+  // The memory of the response until the caller has read it.
+  std::size_t ResponseBytes() const;
   bool SkipMessage();
-  void ReturnConnection(const Parser::value_type& aMessage);
+  void ReturnConnection(const MessageHead& aMessage);
   void Finish(ExchangeOutcome aOutcome, std::string aReason);
   void NewParser();
   void ReleaseServer(bool aExecuted);
--- a/src/gateway/ServerHead.cc
+++ b/src/gateway/ServerHead.cc
@@ -21,7 +21,7 @@
                                                   aNames.expectedInstance_,
                                                   aNames.customer_,
                                                   "Authorization" };
-  for (const HttpHeader& header : EndToEndHeaders(aRequest.headers_)) {
+  for (const HeaderField header : EndToEndHeaders(aRequest.headers_)) {
     const bool isReplaced = std::any_of(
       replaced.begin(), replaced.end(), [&](std::string_view aName) {
         return EqualIgnoreCase(header.name_, aName);
@@ -36,8 +36,8 @@
     add(aNames.customer_, aFields.customer_);
   }
   const bool hasBody = aFields.bodyBytes_ > 0 ||
-                       FindHeader(aRequest.headers_, "Content-Length") ||
-                       FindHeader(aRequest.headers_, "Transfer-Encoding");
+                       aRequest.headers_.Has("Content-Length") ||
+                       aRequest.headers_.Has("Transfer-Encoding");
   if (hasBody) {
     add("Content-Length", std::to_string(aFields.bodyBytes_));
   }
