Look up listed header names in a sorted list, and let connections take turns

A connection's requests were parsed one after the other in the same turn of the event loop.

Change: HeaderNameList sorts the names of all Connection headers once and looks each field up in it. After each request of a connection that has more input, the other connections have their turn first.

Why it works: the work for a head is n log n of its length, and what one connection can do at once is one request's handling.

--- a/src/gateway/CallerConnection.cc
+++ b/src/gateway/CallerConnection.cc
@@ -1,6 +1,7 @@
 #include "gateway/PendingRequest.h"
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 namespace peridotsail::detail {
@@ -133,7 +134,7 @@
 void
 CallerConnection::Read()
 {
-  if (reading_ || closed_ || paused_) {
+  if (reading_ || closed_ || paused_ || parseLater_) {
     return;
   }
   if (readClosed_) {
@@ -219,12 +220,33 @@
     // The requests in progress are the last ones of this connection.
     readClosed_ = true;
   }
-  while (!readClosed_ && !closed_ && buffer_.size() > 0 &&
+  while (!readClosed_ && !closed_ && !parseLater_ && buffer_.size() > 0 &&
          pipeline_.size() < kMaxPipelined) {
     if (!Reserve() || !ParseOne()) {
       return;
     }
+    if (!headerSince_) {
+      ParseLater();
+    }
+  }
+}
+
+// A caller that sends many requests at once must not keep the others from
+// having theirs handled.
+void
+CallerConnection::ParseLater()
+{
+  if (closed_ || readClosed_ || buffer_.size() == 0 ||
+      pipeline_.size() >= kMaxPipelined) {
+    return;
   }
+  parseLater_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->parseLater_ = false;
+    self->ParseBuffered();
+    self->ReserveBuffer();
+    self->Read();
+  });
 }
 
 // Returns whether input was consumed, so that parsing may continue.
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -74,6 +74,9 @@
   void OnDiscarded(const ErrorCode& aError, std::size_t aSize);
   void ParseBuffered();
   bool ParseOne();
+  // Continues with the next buffered request after other connections had their
+  // turn.
+  void ParseLater();
   // Rejects the request and returns true if its chunk lines, their extensions
   // or its trailers are too long.
   bool RejectLongFraming();
@@ -136,6 +139,8 @@
   bool reading_ = false;
   // Waits for memory.
   bool paused_ = false;
+  // The next buffered request is parsed when it is this connection's turn.
+  bool parseLater_ = false;
   bool writing_ = false;
   bool wroteLastResponse_ = false;
   // No further requests are read from this connection.
--- a/src/gateway/RequestHeaders.cc
+++ b/src/gateway/RequestHeaders.cc
@@ -1,16 +1,16 @@
 #include "gateway/RequestHeaders.h"
 
-#include "http/BeastTypes.h"
+#include "http/HeaderNameList.h"
+#include "http/HttpTypes.h"
 
 #include <algorithm>
 #include <string_view>
+#include <vector>
 
 namespace peridotsail {
 
 namespace {
 
-namespace http = boost::beast::http;
-
 const char* const kHopByHopHeaders[] = { "Connection",
                                          "Keep-Alive",
                                          "Proxy-Authenticate",
@@ -32,19 +32,16 @@
     [&](const char* aHopByHop) { return EqualIgnoreCase(aName, aHopByHop); });
 }
 
-// Headers that the Connection header lists are hop-by-hop.
-bool
-IsListedByConnection(const HeaderFields& aHeaders, std::string_view aName)
+HeaderNameList
+ListedByConnection(const HeaderFields& aHeaders)
 {
+  std::vector<std::string_view> values;
   for (const HeaderField header : aHeaders) {
-    if (EqualIgnoreCase(header.name_, "Connection") &&
-        http::token_list(boost::beast::string_view(header.value_.data(),
-                                                   header.value_.size()))
-          .exists({ aName.data(), aName.size() })) {
-      return true;
+    if (EqualIgnoreCase(header.name_, "Connection")) {
+      values.push_back(header.value_);
     }
   }
-  return false;
+  return HeaderNameList(values);
 }
 
 }
@@ -52,9 +49,11 @@
 HeaderFields
 EndToEndHeaders(const HeaderFields& aHeaders)
 {
+  // Headers that the Connection header lists are hop-by-hop.
+  const HeaderNameList listed = ListedByConnection(aHeaders);
   HeaderFields endToEnd;
   for (const HeaderField header : aHeaders) {
-    if (!IsHopByHopHeader(header.name_) && !IsListedByConnection(aHeaders, header.name_)) {
+    if (!IsHopByHopHeader(header.name_) && !listed.Has(header.name_)) {
       endToEnd.Add(header.name_, header.value_);
     }
   }
--- a/src/http/HttpTypes.cc
+++ b/src/http/HttpTypes.cc
@@ -39,6 +39,14 @@
                                { aRight.data(), aRight.size() });
 }
 
+bool
+LessIgnoreCase::operator()(std::string_view aLeft,
+                           std::string_view aRight) const
+{
+  return boost::beast::iless()({ aLeft.data(), aLeft.size() },
+                               { aRight.data(), aRight.size() });
+}
+
 const std::string*
 FindHeader(const HttpHeaders& aHeaders, std::string_view aName)
 {
--- a/src/http/HttpTypes.h
+++ b/src/http/HttpTypes.h
@@ -26,6 +26,12 @@
 bool
 EqualIgnoreCase(std::string_view aLeft, std::string_view aRight);
 
+// Orders header names, case-insensitively.
+struct LessIgnoreCase
+{
+  bool operator()(std::string_view aLeft, std::string_view aRight) const;
+};
+
 struct HttpRequest
 {
   std::string method_ = "GET";
