Bound the input of the ports for lookups, readiness and metrics

Callers saw: a host over its memory. Each of these ports accepts 100 connections; one with a head of short fields and an unfinished body took 270 KB, in no account.

Cause: HttpServer bounded the head and the body of one connection only, and Beast kept each field as an element. A connection whose peer did not read its response could not be replaced either, so 100 of them kept lookups from being answered until their timeout.

Change: HttpServer reads with MessageParser and counts the memory of all requests that are being read. If it exceeds the bound (a 64th of memoryMb for each port; 16 MB for other uses), the connection whose peer has been waited for for longest is closed, as when the connections are all in use; peers that do not read count as waited for. A metric counts these.

Why it works: the sum is bounded whatever the connections send, and a caller that sends its request at once is never the one that was waited for longest while others stall.

--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -52,6 +52,8 @@
 constexpr std::size_t kControlMaxConnections = 100;
 // One of these ports uses at most this part of the descriptors.
 constexpr std::size_t kControlDescriptorsPart = 10;
+// The input of one of these ports uses at most this part of the memory.
+constexpr std::size_t kControlMemoryPart = 64;
 
 std::size_t
 MaxCallerConnections(const GatewaySettings& aSettings)
@@ -71,6 +73,7 @@
   options.maxConnections_ =
     std::min(kControlMaxConnections,
              aSettings.maxDescriptors_ / kControlDescriptorsPart);
+  options.maxInputBytes_ = aSettings.memoryBytes_ / kControlMemoryPart;
   return options;
 }
 
@@ -121,6 +124,7 @@
   MetricGauge& droppedLines_;
   MetricGauge& viewAge_;
   MetricGauge& storeEra_;
+  MetricGauge& controlClosed_;
   ReadRecorder readRecorder_;
   std::atomic<bool> draining_{ false };
   // Set before draining_, so that readers of draining_ see it.
@@ -168,6 +172,10 @@
                             "Time since the view was last confirmed."))
   , storeEra_(metrics_.Gauge("peridotsail_store_era",
                              "The era that the store states; 0 for none."))
+  , controlClosed_(metrics_.Gauge(
+      "peridotsail_control_connections_closed",
+      "Connections of the ports for lookups, readiness and metrics that were "
+      "closed to make room."))
   , readRecorder_(metrics_)
   , traffic_("traffic", kRingTasks)
   , control_("control", kRingTasks)
@@ -467,6 +475,9 @@
     flow_.UpdateMemoryMetrics();
     flow_.quarantine_.Publish(self_, UnixMilliseconds());
     droppedLines_.Set(static_cast<double>(DroppedLogLines()));
+    controlClosed_.Set(static_cast<double>(controlServer_.Closed() +
+                                           directoryServer_.Closed() +
+                                           metricsServer_.Closed()));
     PublishSelf();
     OnTick();
   });
--- a/src/http/HttpServer.cc
+++ b/src/http/HttpServer.cc
@@ -1,6 +1,7 @@
 #include "http/HttpServer.h"
 
 #include "http/BeastTypes.h"
+#include "http/MessageParser.h"
 
 #include <algorithm>
 #include <deque>
@@ -13,6 +14,22 @@
 namespace {
 
 constexpr Duration kAcceptRetryInterval = std::chrono::milliseconds(50);
+constexpr std::size_t kReadBytes = 4 << 10;
+
+// A body of a parser.
+class StringBody
+{
+public:
+  void Expect(std::size_t /*aBytes*/) {}
+  void Append(const char* aData, std::size_t aBytes)
+  {
+    text_.append(aData, aBytes);
+  }
+  std::string& Text() { return text_; }
+
+private:
+  std::string text_;
+};
 
 }
 
@@ -30,9 +47,11 @@
   void Accept();
   // Waits before the next accept, since a failed one fails again at once.
   void AcceptLater();
-  // Closes the connection that has waited for a request for longest. Returns
-  // false if none waits.
+  // Closes the connection whose peer has been waited for for longest. Returns
+  // false if there is none.
   bool CloseLongestWaiting();
+  // Closes connections until the input fits.
+  void LimitInput();
 
   asio::io_context& context_;
   HttpServerOptions options_;
@@ -40,8 +59,12 @@
   tcp::acceptor acceptor_;
   asio::steady_timer retryTimer_;
   std::size_t connections_ = 0;
-  // Connections that wait for a request or its rest, and since when.
+  // Connections that wait for their peer to send a request or to read a
+  // response, and since when.
   std::map<HttpReply*, TimePoint> waiting_;
+  // The memory of the requests that are being read.
+  std::size_t inputBytes_ = 0;
+  std::uint64_t closed_ = 0;
 };
 
 namespace {
@@ -65,7 +88,13 @@
   void Abort() override;
 
 private:
+  void Read();
+  void OnRead(const ErrorCode& aError, std::size_t aSize);
+  void Parse();
   void OnRequest(const ErrorCode& aError);
+  // Accounts for the memory of the request that is being read.
+  void SetInputBytes(std::size_t aBytes);
+  void CountInput();
   void SendMalformed(const ErrorCode& aError);
   void Enqueue(std::string aBytes);
   void WriteNext();
@@ -73,8 +102,9 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<HttpServer::Impl> server_;
-  beast::flat_buffer buffer_{ kMaxUnparsedBytes };
-  std::optional<http::request_parser<http::string_body>> parser_;
+  beast::flat_buffer buffer_;
+  std::optional<MessageParser<true, StringBody>> parser_;
+  std::size_t inputBytes_ = 0;
   bool keepAlive_ = false;
   bool closed_ = false;
   // Set when the last chunk of a response is queued.
@@ -118,6 +148,7 @@
 {
   --server_->connections_;
   server_->waiting_.erase(this);
+  SetInputBytes(0);
 }
 
 void
@@ -127,15 +158,72 @@
   parser_->header_limit(
     static_cast<std::uint32_t>(server_->options_.maxHeaderBytes_));
   parser_->body_limit(server_->options_.maxBodyBytes_);
+  parser_->eager(true);
   responseQueued_ = false;
   server_->waiting_[this] = BootClock::now();
   stream_.expires_after(ToSteady(server_->options_.timeout_));
-  http::async_read(stream_,
-                   buffer_,
-                   *parser_,
-                   [self = shared_from_this()](ErrorCode aError, std::size_t) {
-                     self->OnRequest(aError);
-                   });
+  Parse();
+}
+
+void
+Session::Read()
+{
+  stream_.async_read_some(
+    buffer_.prepare(kReadBytes),
+    [self = shared_from_this()](ErrorCode aError, std::size_t aSize) {
+      self->OnRead(aError, aSize);
+    });
+  CountInput();
+}
+
+void
+Session::OnRead(const ErrorCode& aError, std::size_t aSize)
+{
+  if (closed_) {
+    return;
+  }
+  buffer_.commit(aSize);
+  if (aError) {
+    // The peer has left, or was too slow.
+    server_->waiting_.erase(this);
+    return;
+  }
+  Parse();
+}
+
+void
+Session::Parse()
+{
+  ErrorCode error;
+  while (buffer_.size() > 0 && !parser_->is_done() && !error) {
+    buffer_.consume(parser_->put(buffer_.data(), error));
+  }
+  const bool tooLong = buffer_.size() >= kMaxUnparsedBytes;
+  if (error == http::error::need_more && tooLong) {
+    error = http::error::buffer_overflow;
+  }
+  if (parser_->is_done()) {
+    OnRequest({});
+  } else if (error && error != http::error::need_more) {
+    OnRequest(error);
+  } else {
+    Read();
+  }
+}
+
+void
+Session::SetInputBytes(std::size_t aBytes)
+{
+  server_->inputBytes_ = server_->inputBytes_ - inputBytes_ + aBytes;
+  inputBytes_ = aBytes;
+}
+
+void
+Session::CountInput()
+{
+  SetInputBytes(buffer_.capacity() + parser_->Head().Bytes() +
+                parser_->Body().Text().capacity());
+  server_->LimitInput();
 }
 
 void
@@ -147,13 +235,15 @@
     return;
   }
   stream_.expires_never();
-  const auto& message = parser_->get();
+  MessageHead& head = parser_->Head();
   HttpRequest request;
-  request.method_ = std::string(ToView(message.method_string()));
-  request.target_ = std::string(ToView(message.target()));
-  request.headers_ = ToHeaders(message);
-  request.body_ = message.body();
-  keepAlive_ = message.keep_alive();
+  request.method_ = std::move(head.method_);
+  request.target_ = std::move(head.target_);
+  request.headers_ = ToHeaders(head.fields_);
+  request.body_ = std::move(parser_->Body().Text());
+  keepAlive_ = parser_->keep_alive();
+  parser_.reset();
+  SetInputBytes(buffer_.capacity());
   server_->handler_(request, shared_from_this());
 }
 
@@ -213,6 +303,8 @@
 Session::Abort()
 {
   closed_ = true;
+  server_->waiting_.erase(this);
+  SetInputBytes(0);
   stream_.close();
 }
 
@@ -231,6 +323,7 @@
 void
 Session::WriteNext()
 {
+  server_->waiting_[this] = BootClock::now();
   stream_.expires_after(ToSteady(server_->options_.timeout_));
   asio::async_write(stream_,
                     asio::buffer(queue_.front()),
@@ -242,10 +335,11 @@
 void
 Session::OnWritten(const ErrorCode& aError)
 {
-  if (aError) {
+  if (aError || closed_) {
     Abort();
     return;
   }
+  server_->waiting_.erase(this);
   queue_.pop_front();
   if (!queue_.empty()) {
     WriteNext();
@@ -278,12 +372,18 @@
   if (longest == waiting_.end()) {
     return false;
   }
-  HttpReply* const session = longest->first;
-  waiting_.erase(longest);
-  session->Abort();
+  longest->first->Abort();
+  ++closed_;
   return true;
 }
 
+void
+HttpServer::Impl::LimitInput()
+{
+  while (inputBytes_ > options_.maxInputBytes_ && CloseLongestWaiting()) {
+  }
+}
+
 void
 HttpServer::Impl::Accept()
 {
@@ -349,6 +449,12 @@
   return impl_->acceptor_.local_endpoint().port();
 }
 
+std::uint64_t
+HttpServer::Closed() const
+{
+  return impl_->closed_;
+}
+
 void
 HttpServer::Close()
 {
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -15,6 +15,7 @@
 #include "http/HttpTypes.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -26,9 +27,12 @@
   std::size_t maxBodyBytes_ = 4 << 20;
   // The timeout for reading a request or writing a response.
   Duration timeout_ = std::chrono::seconds(30);
-  // A connection beyond this number replaces the one that has waited for a
-  // request for longest; without such a one, it is closed immediately.
+  // A connection beyond this number replaces the one whose peer has been waited
+  // for for longest; without such a one, it is closed immediately.
   std::size_t maxConnections_ = 1000;
+  // The memory for requests that are being read. If more is needed, connections
+  // are closed in the same order.
+  std::size_t maxInputBytes_ = std::size_t{ 16 } << 20;
 };
 
 // The response to one request. Either call Send, or Begin, Write and End.
@@ -66,6 +70,8 @@
   std::uint16_t Port() const;
   // Stops accepting; existing connections stay open.
   void Close();
+  // The number of connections that were closed to make room for others.
+  std::uint64_t Closed() const;
 
   struct Impl;
 
