Limit the connections to servers by the descriptors that are left

Callers would see 503 and 502 while their servers are idle: a crowd whose requests are complete and slow at their servers opens one connection each. Without a descriptor the next connection fails, and the server that was chosen counted as unreachable.

Cause: ServerConnections had no limit, and an error of this host's own was taken for one of the server.

Change: connections to servers may use a quarter of maxFds, and what callers, the other ports and 64 descriptors of the host's own leave of it. At the limit an idle connection gives way; without one the request gets 503 with Retry-After at once. It was not sent, so the promise holds, and the server's health is not touched. Metrics count connections and refusals.

Measured: gateway_test "A request beyond the limit of connections is not sent" checks the limit, the idle connection that gives way, and the outcome; without the limit it has a third connection and no outcome.

--- a/src/gateway/FlowContext.cc
+++ b/src/gateway/FlowContext.cc
@@ -21,6 +21,11 @@
   , memoryClosed_(
       aMetrics.Gauge("peridotsail_memory_closed",
                      "Stalled connections closed for lack of memory."))
+  , serverConnections_(aMetrics.Gauge("peridotsail_server_connections",
+                                      "Open connections to backend servers."))
+  , connectionsRefused_(
+      aMetrics.Counter("peridotsail_server_connections_refused_total",
+                       "Requests refused at the limit of connections."))
   , registry_(aMetrics)
 {
 }
@@ -79,7 +84,7 @@
   , memoryTimer_(aContext)
   , memory_(options_.memory_,
             [this](Duration aDelay) { ScheduleMemory(aDelay); })
-  , connections_(aContext, {}, memory_)
+  , connections_(aContext, options_.servers_, memory_)
   , owners_(options_.regions_, options_.region_, options_.name_)
   , allowances_(aAllowances, owners_)
   , datagrams_(aContext,
@@ -159,6 +164,7 @@
   metrics_.heldBytes_.Set(static_cast<double>(now.held_));
   metrics_.memoryRefused_.Set(static_cast<double>(now.refused_));
   metrics_.memoryClosed_.Set(static_cast<double>(now.closed_));
+  metrics_.serverConnections_.Set(static_cast<double>(connections_.Open()));
 }
 
 void
--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -62,6 +62,7 @@
   Duration minTimeLeft_ = std::chrono::milliseconds(30);
   // Bounds what is held for callers and servers.
   MemoryOptions memory_;
+  ServerConnectionOptions servers_;
   ChooserOptions chooser_;
   InstanceHealthOptions health_;
 };
@@ -77,6 +78,8 @@
   MetricGauge& heldBytes_;
   MetricGauge& memoryRefused_;
   MetricGauge& memoryClosed_;
+  MetricGauge& serverConnections_;
+  MetricCounter& connectionsRefused_;
   Metrics& registry_;
 };
 
@@ -101,7 +104,8 @@
   void SetView(const std::map<std::string, HostRecord>& aHosts,
                RoutingTablePtr aTable);
 
-  // Updates the metrics of the memory that is held. Call now and then.
+  // Updates the metrics of the memory and the connections that are held. Call
+  // now and then.
   void UpdateMemoryMetrics();
 
   asio::io_context& context_;
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -52,8 +52,15 @@
 constexpr std::size_t kControlMaxConnections = 100;
 // One of these ports uses at most this part of the descriptors.
 constexpr std::size_t kControlDescriptorsPart = 10;
+constexpr std::size_t kControlPorts = 3;
 // The input of one of these ports uses at most this part of the memory.
 constexpr std::size_t kControlMemoryPart = 64;
+// Descriptors for listening, for the store and for other hosts, and the most
+// that they may be of all.
+constexpr std::size_t kOwnDescriptors = 64;
+constexpr std::size_t kOwnDescriptorsPart = 16;
+// Connections to backend servers use at most this part of the descriptors.
+constexpr std::size_t kServerDescriptorsPart = 4;
 
 std::size_t
 MaxCallerConnections(const GatewaySettings& aSettings)
@@ -65,14 +72,32 @@
     aSettings.memoryBytes_ / kConnectionsMemoryPart / kConnectionBytes);
 }
 
+std::size_t
+MaxControlConnections(const GatewaySettings& aSettings)
+{
+  return std::min(kControlMaxConnections,
+                  aSettings.maxDescriptors_ / kControlDescriptorsPart);
+}
+
+// Returns the number of connections to servers that may be open besides
+// aCallers connections of callers.
+std::size_t
+MaxServerConnections(const GatewaySettings& aSettings, std::size_t aCallers)
+{
+  const std::size_t descriptors = aSettings.maxDescriptors_;
+  const std::size_t others =
+    std::min(kOwnDescriptors, descriptors / kOwnDescriptorsPart) +
+    kControlPorts * MaxControlConnections(aSettings) + aCallers;
+  return std::min(descriptors / kServerDescriptorsPart,
+                  descriptors - std::min(descriptors, others));
+}
+
 HttpServerOptions
 ControlServerOptions(const GatewaySettings& aSettings)
 {
   HttpServerOptions options;
   options.maxBodyBytes_ = kControlMaxBodyBytes;
-  options.maxConnections_ =
-    std::min(kControlMaxConnections,
-             aSettings.maxDescriptors_ / kControlDescriptorsPart);
+  options.maxConnections_ = MaxControlConnections(aSettings);
   options.maxInputBytes_ = aSettings.memoryBytes_ / kControlMemoryPart;
   return options;
 }
@@ -235,6 +260,9 @@
   options.regions_ = settings_.regions_;
   options.headers_ = adapter_.headers_;
   options.memory_.machineBytes_ = settings_.memoryBytes_;
+  options.servers_.maxOpen_ = [this] {
+    return MaxServerConnections(settings_, callers_.Connections());
+  };
   options.viewAge_ = [this](TimePoint aNow) { return ViewAge(aNow); };
   options.canFinish_ = [this](TimePoint aDeadline) {
     return CanFinish(aDeadline);
--- a/src/gateway/RequestFlowAttempts.cc
+++ b/src/gateway/RequestFlowAttempts.cc
@@ -249,6 +249,11 @@
 RequestFlow::RecordOutcome(const InstancePtr& aInstance,
                            const ServerExchangeResult& aResult)
 {
+  if (aResult.noConnection_) {
+    // Says nothing about the server.
+    flow_.quarantine_.Ended(fingerprint_);
+    return;
+  }
   const TimePoint now = BootClock::now();
   InstanceOutcome outcome = InstanceOutcome::Success;
   if (aResult.unreachable_) {
@@ -305,6 +310,11 @@
                { "reason", aResult.reason_ },
                { "attempt", attempts_ } });
   }
+  if (aResult.noConnection_) {
+    flow_.metrics_.connectionsRefused_.Add(1);
+    RefuseNotRun("no-connection", flow_.options_.retryAfter_);
+    return;
+  }
   if (!CanRetry(aResult)) {
     RespondWithResult(std::move(aResult));
     return;
--- a/src/gateway/ServerConnections.cc
+++ b/src/gateway/ServerConnections.cc
@@ -29,10 +29,18 @@
 }
 
 ServerConnection::ServerConnection(asio::io_context& aContext,
-                                   InstancePtr aInstance)
+                                   InstancePtr aInstance,
+                                   std::shared_ptr<std::size_t> aOpen)
   : socket_(aContext)
   , instance_(std::move(aInstance))
+  , open_(std::move(aOpen))
 {
+  ++*open_;
+}
+
+ServerConnection::~ServerConnection()
+{
+  --*open_;
 }
 
 void
@@ -80,7 +88,7 @@
                                      ServerConnectionOptions aOptions,
                                      MemoryPool& aMemory)
   : context_(aContext)
-  , options_(aOptions)
+  , options_(std::move(aOptions))
   , memory_(aMemory)
 {
 }
@@ -108,10 +116,27 @@
   return nullptr;
 }
 
+bool
+ServerConnections::MakeRoom()
+{
+  if (!options_.maxOpen_ || Open() < options_.maxOpen_()) {
+    return true;
+  }
+  const auto found =
+    std::find_if(idle_.begin(), idle_.end(), [](const auto& aEntry) {
+      return !aEntry.second.empty();
+    });
+  if (found == idle_.end()) {
+    return false;
+  }
+  found->second.pop_front();
+  return Open() < options_.maxOpen_();
+}
+
 ServerConnectionPtr
 ServerConnections::Create(const InstancePtr& aInstance)
 {
-  return std::make_unique<ServerConnection>(context_, aInstance);
+  return std::make_unique<ServerConnection>(context_, aInstance, open_);
 }
 
 void
--- a/src/gateway/ServerConnections.h
+++ b/src/gateway/ServerConnections.h
@@ -8,6 +8,7 @@
 #include "memory/MemoryPool.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,13 +29,20 @@
   // closed (TCP_USER_TIMEOUT), so that a dead connection is detected: three
   // times the longest round trip, with one lost packet.
   Duration tcpUserTimeout_ = std::chrono::milliseconds(1200);
+  // Returns the number of connections that may be open, idle ones included. If
+  // empty, there is no limit.
+  std::function<std::size_t()> maxOpen_;
 };
 
 // A connection to a backend server.
 class ServerConnection
 {
 public:
-  ServerConnection(asio::io_context& aContext, InstancePtr aInstance);
+  // aOpen counts the connections that exist.
+  ServerConnection(asio::io_context& aContext,
+                   InstancePtr aInstance,
+                   std::shared_ptr<std::size_t> aOpen);
+  ~ServerConnection();
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
@@ -59,6 +67,7 @@
 
 private:
   InstancePtr instance_;
+  std::shared_ptr<std::size_t> open_;
   // Hashes of the ids of the last requests.
   std::deque<std::size_t> carriedIds_;
 };
@@ -76,6 +85,11 @@
   ServerConnectionPtr TakeIdle(const InstancePtr& aInstance,
                                const std::string& aRequestId,
                                TimePoint aNow);
+  // Returns whether a connection may be created within the limit. Closes an
+  // idle one if that is needed.
+  bool MakeRoom();
+  // The number of connections, idle ones included.
+  std::size_t Open() const { return *open_; }
   // Returns a connection that is not open yet.
   ServerConnectionPtr Create(const InstancePtr& aInstance);
   // Returns a connection to the pool. aKeepAlive is the server's keep-alive
@@ -102,6 +116,7 @@
   ServerConnectionOptions options_;
   MemoryPool& memory_;
   std::function<void(const Instance&, Duration)> onConnected_;
+  std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
   std::map<Instance*, std::deque<ServerConnectionPtr>> idle_;
 };
 
--- a/src/gateway/ServerExchange.cc
+++ b/src/gateway/ServerExchange.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/post.hpp>
 #include <charconv>
 
 namespace peridotsail {
@@ -99,11 +100,22 @@
     connections_.TakeIdle(request_.instance_, request_.requestId_, startedAt_);
   if (connection_) {
     Send();
-  } else {
+  } else if (connections_.MakeRoom()) {
     Connect();
+  } else {
+    FailWithoutConnection();
   }
 }
 
+void
+ServerExchange::FailWithoutConnection()
+{
+  asio::post(connections_.Context(), [self = shared_from_this()] {
+    self->result_.noConnection_ = true;
+    self->Finish(ExchangeOutcome::NotExecuted, "too many connections");
+  });
+}
+
 void
 ServerExchange::Connect()
 {
@@ -125,7 +137,9 @@
       }
       self->connectTimer_.cancel();
       if (aError) {
-        self->result_.unreachable_ = true;
+        const bool noConnection = aError == asio::error::no_descriptors;
+        self->result_.noConnection_ = noConnection;
+        self->result_.unreachable_ = !noConnection;
         self->Finish(ExchangeOutcome::NotExecuted, aError.message());
         return;
       }
--- a/src/gateway/ServerExchange.h
+++ b/src/gateway/ServerExchange.h
@@ -56,6 +56,8 @@
   ServerResponse response_;
   // The connection could not be opened.
   bool unreachable_ = false;
+  // This host may open no further connection, so nothing was sent.
+  bool noConnection_ = false;
   // The response was aborted because this host had no memory for it.
   bool noMemory_ = false;
   // A description of the failure, for the log.
@@ -99,12 +101,14 @@
 
   void Connect();
   void Send();
+  // Ends the exchange, which has no connection, after Start has returned.
+  void FailWithoutConnection();
   void Read();
+  void ReadAvailable();
   void OnRead(const ErrorCode& aError);
   bool Parse();
   bool OnCompleteResponse();
   // Handles the end of the connection; aError is eof if the server ended it.
-  void ReadAvailable();
   void OnEnd(const ErrorCode& aError);
   // Returns whether the end of the connection ends a response without a length.
   bool EndsResponse();
@@ -119,12 +123,12 @@
   // Accounts for the buffered bytes of the response. Returns false and sets
   // aReason if a limit is exceeded.
   std::size_t BodyBytes() const;
+  // The memory of the response until the caller has read it.
+  std::size_t ResponseBytes() const;
   bool UpdateBufferedBytes(std::string& aReason);
   void OnMemory(MemoryNotice aNotice);
   // Skips an interim response or one to another request. Returns false if there
   // were too many.
-  // The memory of the response until the caller has read it.
-  std::size_t ResponseBytes() const;
   bool SkipMessage();
   void ReturnConnection(const MessageHead& aMessage);
   void Finish(ExchangeOutcome aOutcome, std::string aReason);
--- a/src/gateway/testing/ServerExchangeTest.cc
+++ b/src/gateway/testing/ServerExchangeTest.cc
@@ -119,3 +119,60 @@
   }
   exchange->Cancel();
 }
+
+// Guards against requests of a crowd that use up the descriptors, one for each
+// that waits for its server, and against servers that are blamed for it.
+TEST_CASE("A request beyond the limit of connections is not sent")
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  InstanceRecord record;
+  record.id_ = "i-1";
+  record.address_ = { "127.0.0.1", acceptor.local_endpoint().port() };
+  const auto instance = std::make_shared<Instance>(record);
+  MemoryPool memory({}, nullptr);
+  ServerConnectionOptions options;
+  options.maxOpen_ = [] { return std::size_t{ 2 }; };
+  ServerConnections connections(context, options, memory);
+  const GatewayHeaders headers;
+  std::vector<ServerExchangeResult> results;
+  std::vector<std::shared_ptr<ServerExchange>> exchanges;
+  const auto start = [&] {
+    ServerRequest request;
+    request.instance_ = instance;
+    request.requestId_ = "r" + std::to_string(exchanges.size());
+    request.head_ = "GET / HTTP/1.1\r\n\r\n";
+    request.body_ = std::make_shared<const BlockBuffer>();
+    exchanges.push_back(std::make_shared<ServerExchange>(
+      connections, headers, request, [&](ServerExchangeResult aResult) {
+        results.push_back(std::move(aResult));
+      }));
+    exchanges.back()->Start();
+    context.restart();
+    context.poll();
+  };
+  start();
+  start();
+  CHECK(connections.Open() == 2);
+  start();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].outcome_ == ExchangeOutcome::NotExecuted);
+  CHECK(results[0].noConnection_);
+  CHECK_FALSE(results[0].unreachable_);
+  CHECK(connections.Open() == 2);
+  // An idle connection to another server gives way.
+  exchanges[0]->Cancel();
+  exchanges.erase(exchanges.begin());
+  context.restart();
+  context.poll();
+  const auto other = std::make_shared<Instance>(InstanceRecord());
+  connections.Return(
+    connections.Create(other), Duration::zero(), BootClock::now());
+  CHECK(connections.Open() == 2);
+  start();
+  CHECK(results.size() == 1);
+  CHECK(connections.Open() == 2);
+  for (const auto& exchange : exchanges) {
+    exchange->Cancel();
+  }
+}
