Move the scheduled memory pool and the growth of bodies into src/memory

`serve` is about to use the same account as `serve-platform`. The timer that runs the pool's decisions, the growth of bodies of unknown length and the string body of a parser were private to src/gateway and HttpServer; they are now ScheduledMemoryPool, BodyGrowth.h and StringBody.h.

--- a/src/gateway/CallerConnectionMemory.cc
+++ b/src/gateway/CallerConnectionMemory.cc
@@ -3,6 +3,7 @@
 
 #include "base/EventLog.h"
 #include "gateway/PendingRequest.h"
+#include "memory/BodyGrowth.h"
 
 #include <algorithm>
 
@@ -12,26 +13,11 @@
 
 // What a request needs while it is handled, beyond its head and its body.
 constexpr std::size_t kRequestBytes = 4 << 10;
-// What a body of unknown length reserves first.
-constexpr std::size_t kMinBodyBytes = 4 << 10;
 // The receive buffer of a connection that waits for memory.
 constexpr int kPausedReceiveBytes = 64 << 10;
 // Retry-After of requests for which there is no memory, in seconds.
 constexpr char kMemoryRetryAfter[] = "1.000";
 
-// Returns what a body of unknown length reserves when it needs aBytes. Doubling
-// lets one of several bodies end, where small steps would let each grow a
-// little and none end.
-std::size_t
-BytesToGrow(std::size_t aBytes, std::size_t aMaxBody)
-{
-  std::size_t bytes = kMinBodyBytes;
-  while (bytes < aBytes) {
-    bytes *= 2;
-  }
-  return std::max(aBytes, std::min(bytes, aMaxBody));
-}
-
 }
 
 std::size_t
--- a/src/gateway/FlowContext.cc
+++ b/src/gateway/FlowContext.cc
@@ -81,9 +81,7 @@
   : context_(aContext)
   , options_(std::move(aOptions))
   , instances_(aInstances)
-  , memoryTimer_(aContext)
-  , memory_(options_.memory_,
-            [this](Duration aDelay) { ScheduleMemory(aDelay); })
+  , memory_(aContext, options_.memory_)
   , connections_(aContext, options_.servers_, memory_)
   , owners_(options_.regions_, options_.region_, options_.name_)
   , allowances_(aAllowances, owners_)
@@ -146,17 +144,6 @@
   return table_ && table_->MixesUrgentAndSlowWork(aService);
 }
 
-void
-FlowContext::ScheduleMemory(Duration aDelay)
-{
-  memoryTimer_.expires_after(ToSteady(aDelay));
-  memoryTimer_.async_wait([this](ErrorCode aError) {
-    if (!aError) {
-      memory_.Run(BootClock::now());
-    }
-  });
-}
-
 void
 FlowContext::UpdateMemoryMetrics()
 {
--- a/src/gateway/FlowContext.h
+++ b/src/gateway/FlowContext.h
@@ -13,7 +13,7 @@
 #include "gateway/QuarantineChannel.h"
 #include "gateway/RegionPlanChannel.h"
 #include "gateway/ServerExchange.h"
-#include "memory/MemoryPool.h"
+#include "memory/ScheduledMemoryPool.h"
 #include "pace/ColdStartLimit.h"
 #include "regions/RegionLatency.h"
 #include "regions/RemoteBudget.h"
@@ -111,8 +111,7 @@
   asio::io_context& context_;
   FlowOptions options_;
   InstanceTable& instances_;
-  asio::steady_timer memoryTimer_;
-  MemoryPool memory_;
+  ScheduledMemoryPool memory_;
   ServerConnections connections_;
   AllowanceOwners owners_;
   CustomerAllowances allowances_;
@@ -132,10 +131,6 @@
   std::vector<std::function<void()>> waitingForView_;
   std::mt19937_64 random_;
   int inFlight_ = 0;
-
-private:
-  // Lets the memory pool make its decisions after the duration.
-  void ScheduleMemory(Duration aDelay);
 };
 
 }
--- a/src/http/HttpServer.cc
+++ b/src/http/HttpServer.cc
@@ -2,6 +2,7 @@
 
 #include "http/BeastTypes.h"
 #include "http/MessageParser.h"
+#include "http/StringBody.h"
 
 #include <algorithm>
 #include <deque>
@@ -16,21 +17,6 @@
 constexpr Duration kAcceptRetryInterval = std::chrono::milliseconds(50);
 constexpr std::size_t kReadBytes = 4 << 10;
 
-// A body of a parser.
-class StringBody
-{
-public:
-  void Expect(std::size_t /*aBytes*/) {}
-  void Append(const char* aData, std::size_t aBytes)
-  {
-    text_.append(aData, aBytes);
-  }
-  std::string& Text() { return text_; }
-
-private:
-  std::string text_;
-};
-
 }
 
 struct HttpServer::Impl : public std::enable_shared_from_this<Impl>
