Look up listed header names once for each request in `serve`, too

Callers saw: no answer for half a minute while 450 requests with thousands of listed names were handled.

Cause: ForwardableHeaders went through the text of the Connection header for each field, and only through the first such header, so names in a second one were forwarded.

--- a/src/proxy/BackendExchange.cc
+++ b/src/proxy/BackendExchange.cc
@@ -1,5 +1,7 @@
 #include "proxy/BackendExchange.h"
 
+#include "http/HeaderNameList.h"
+
 #include <algorithm>
 #include <array>
 #include <netinet/tcp.h>
@@ -65,22 +67,16 @@
   });
 }
 
-// Whether the value of the Connection header lists this header.
-bool
-IsListed(const std::string& aConnection, const std::string& aName)
+HeaderNameList
+ListedByConnection(const HttpHeaders& aHeaders)
 {
-  std::string_view rest = aConnection;
-  while (!rest.empty()) {
-    std::string_view item = rest.substr(0, rest.find(','));
-    rest.remove_prefix(std::min(rest.size(), item.size() + 1));
-    const std::size_t start = item.find_first_not_of(" \t");
-    const std::size_t end = item.find_last_not_of(" \t");
-    if (start != std::string_view::npos &&
-        EqualIgnoreCase(item.substr(start, end - start + 1), aName)) {
-      return true;
+  std::vector<std::string_view> values;
+  for (const HttpHeader& header : aHeaders) {
+    if (EqualIgnoreCase(header.name_, "Connection")) {
+      values.push_back(header.value_);
     }
   }
-  return false;
+  return HeaderNameList(values);
 }
 
 }
@@ -88,12 +84,10 @@
 HttpHeaders
 ForwardableHeaders(const HttpHeaders& aHeaders)
 {
-  const std::string* connection = FindHeader(aHeaders, "Connection");
+  const HeaderNameList listed = ListedByConnection(aHeaders);
   HttpHeaders kept;
   for (const HttpHeader& header : aHeaders) {
-    const bool listed =
-      connection != nullptr && IsListed(*connection, header.name_);
-    if (!listed && !IsNeverForwarded(header.name_)) {
+    if (!listed.Has(header.name_) && !IsNeverForwarded(header.name_)) {
       kept.push_back(header);
     }
   }
