Account for what `serve` holds for callers, and bound their connections

Callers saw: a host whose memory grows with a crowd without a bound, until the system ends it: 1.0 GB for 1,400 unfinished uploads with heads of short fields, 165 MB for 150 unfinished orders of 1 MB. A crowd of silent connections kept others out, since a connection beyond 20,000 was closed at once; without a descriptor the accept loop took a whole processor.

Cause: `serve` had no account of memory. Each connection held 32 KB for a body from its start and up to 128 KB of input, each exchange 32 KB, each field 85 bytes and more in several copies, and an at-most-once body was kept whole, grown by doubling, and copied for each attempt.

Change: the account of src/memory, with `--memory-limit` (1,024 MB) and `--max-connections` (20,000, fewer if memory or descriptors do not suffice). CallerSession reads heads with MessageParser and requests memory from the first byte on; a request in progress holds what its copies take until its response is sent. BufferedRequest requests the announced length, or grows block by block, and attempts read its blocks instead of a copy. A request that is refused or whose caller stalls while others wait gets 503 with the new kind host-overloaded, `not-run`, before it is passed on; one that was passed on is not ended for memory. A new connection replaces the one that has been silent for longest without a request. The operators' port has a bound of its own.

Why it works: each place that grows with what a caller sends requests memory before it grows, from the same account and with the same order of waiting, closing and refusing that holds for serve-platform.

--- a/src/app/EntryHost.cc
+++ b/src/app/EntryHost.cc
@@ -7,7 +7,51 @@
 namespace {
 
 constexpr std::size_t kRingCapacity = 16 << 10;
+// The input of the operators' port uses at most this part of the memory.
+constexpr std::size_t kOperatorMemoryPart = 16;
 
+MemoryOptions
+MakeMemoryOptions(const Settings& aSettings)
+{
+  MemoryOptions options;
+  options.machineBytes_ = aSettings.memoryLimit_;
+  return options;
+}
+
+// Returns the memory for requests to the operators' port. The largest document
+// fits.
+std::size_t
+OperatorInputBytes(const Settings& aSettings)
+{
+  return std::min(HttpServerOptions().maxInputBytes_,
+                  aSettings.memoryLimit_ / kOperatorMemoryPart);
+}
+
+PipelineOptions
+MakePipelineOptions(MemoryPool& aMemory)
+{
+  PipelineOptions options;
+  options.memory_ = &aMemory;
+  return options;
+}
+
+}
+
+LoadMetrics::LoadMetrics(Metrics& aMetrics)
+  : heldBytes_(aMetrics.Gauge("peridotsail_held_bytes",
+                              "Bytes held for callers and servers."))
+  , memoryRefused_(
+      aMetrics.Gauge("peridotsail_memory_refused",
+                     "Requests and responses refused for lack of memory."))
+  , memoryClosed_(
+      aMetrics.Gauge("peridotsail_memory_closed",
+                     "Stalled connections closed for lack of memory."))
+  , connections_(aMetrics.Gauge("peridotsail_caller_connections",
+                                "Open connections of callers."))
+  , connectionsClosed_(
+      aMetrics.Gauge("peridotsail_caller_connections_closed",
+                     "Connections of callers that were closed to make room."))
+{
 }
 
 ListedHost
@@ -53,10 +97,13 @@
                   budgetManager_,
                   backendDispatcher_,
                   metrics_)
+  , memory_(trafficThread_.Context(), MakeMemoryOptions(settings_))
+  , loadTimer_(trafficThread_.Context())
+  , loadMetrics_(metrics_)
   , peerNode_(peerThread_, MakePeerOptions(), MakePeerHooks())
   , relayNode_(trafficThread_.Context(), MakeRelayHooks())
   , pipeline_(trafficThread_.Context(),
-              {},
+              MakePipelineOptions(memory_),
               MakePipelineHooks(),
               relayNode_,
               metrics_)
@@ -85,7 +132,9 @@
                         incarnation_ },
                       MakeSlotLeaseHooks())
   , operatorServer_(operatorThread_.Context(),
-                    { settings_.operators_, settings_.operatorToken_ },
+                    { settings_.operators_,
+                      settings_.operatorToken_,
+                      OperatorInputBytes(settings_) },
                     metrics_)
   , configurationApi_(operatorThread_,
                       platformThread_,
@@ -152,6 +201,7 @@
   slotLeaseManager_.Start();
   budgetManager_.Start();
   slotDirectory_.Start();
+  UpdateLoadMetrics();
   trafficThread_.Start();
   peerThread_.Start();
   platformThread_.Start();
--- a/src/app/EntryHostHooks.cc
+++ b/src/app/EntryHostHooks.cc
@@ -2,6 +2,9 @@
 
 #include "app/EntryHostImpl.h"
 
+#include <algorithm>
+#include <sys/resource.h>
+
 namespace peridotsail {
 
 namespace {
@@ -19,6 +22,33 @@
   return live;
 }
 
+constexpr Duration kLoadMetricsInterval = std::chrono::seconds(1);
+// The part of the memory for callers' connections without a request, and what
+// one of them needs.
+constexpr std::size_t kConnectionsMemoryPart = 8;
+constexpr std::size_t kConnectionBytes = 8 << 10;
+
+// Returns how many of the process's descriptors callers' connections may use:
+// three quarters. The others are for servers and other processes.
+std::size_t
+CallerDescriptors()
+{
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<std::size_t>(limit.rlim_cur / 4 * 3);
+}
+
+// Returns the size of the largest body that is buffered whole.
+std::size_t
+LargestBufferedBody(const Configuration& aConfiguration)
+{
+  std::uint64_t largest = 0;
+  for (const RouteConfig& route : aConfiguration.routes_) {
+    largest = std::max(largest, route.idempotent_ ? 0 : route.maxBodyBytes_);
+  }
+  return static_cast<std::size_t>(largest);
+}
+
 bool
 IsConfigurationMessage(PeerMessageType aType)
 {
@@ -146,6 +176,7 @@
     onceTransport_.SetConfiguration(configuration);
     platformReader_.SetPools(configuration->pools_);
     PostToTraffic([this, configuration] {
+      memory_.SetLargestBody(LargestBufferedBody(*configuration));
       budgetManager_.SetConfiguration(*configuration);
       backendDispatcher_.SetConfiguration(configuration);
       trafficHooks_.OnSnapshotChanged();
@@ -193,13 +224,37 @@
 }
 
 CallerServerOptions
-EntryHost::Impl::MakeCallerOptions() const
+EntryHost::Impl::MakeCallerOptions()
 {
   CallerServerOptions options;
   options.listen_ = settings_.callers_;
+  options.maxConnections_ = std::min(
+    { settings_.maxConnections_,
+      settings_.memoryLimit_ / kConnectionsMemoryPart / kConnectionBytes,
+      CallerDescriptors() });
+  options.memory_ = &memory_;
   return options;
 }
 
+void
+EntryHost::Impl::UpdateLoadMetrics()
+{
+  const MemoryPoolStatistics memory = memory_.Statistics();
+  loadMetrics_.heldBytes_.Set(static_cast<double>(memory.held_));
+  loadMetrics_.memoryRefused_.Set(static_cast<double>(memory.refused_));
+  loadMetrics_.memoryClosed_.Set(static_cast<double>(memory.closed_));
+  loadMetrics_.connections_.Set(
+    static_cast<double>(callerServer_.Connections()));
+  loadMetrics_.connectionsClosed_.Set(
+    static_cast<double>(callerServer_.Closed()));
+  loadTimer_.expires_after(detail::ToSteady(kLoadMetricsInterval));
+  loadTimer_.async_wait([this](auto aError) {
+    if (!aError) {
+      UpdateLoadMetrics();
+    }
+  });
+}
+
 // Runs on the traffic thread.
 void
 EntryHost::Impl::OnPeerMessage(const PeerHello& aFrom,
--- a/src/app/EntryHostImpl.h
+++ b/src/app/EntryHostImpl.h
@@ -21,6 +21,7 @@
 #include "base/EventLoopThread.h"
 #include "base/Hash.h"
 #include "http/BeastTypes.h"
+#include "memory/ScheduledMemoryPool.h"
 #include "peer/PeerNode.h"
 #include "proxy/CallerServer.h"
 #include "proxy/RequestPipeline.h"
@@ -32,6 +33,17 @@
 
 namespace peridotsail {
 
+// Gauges of what the host holds for its callers.
+struct LoadMetrics
+{
+  explicit LoadMetrics(Metrics& aMetrics);
+  MetricGauge& heldBytes_;
+  MetricGauge& memoryRefused_;
+  MetricGauge& memoryClosed_;
+  MetricGauge& connections_;
+  MetricGauge& connectionsClosed_;
+};
+
 struct EntryHost::Impl
 {
   explicit Impl(Settings aSettings);
@@ -49,7 +61,10 @@
   ConfigurationAgentHooks MakeAgentHooks();
   SlotLeaseManagerHooks MakeSlotLeaseHooks();
   SlotDirectoryHooks MakeSlotDirectoryHooks();
-  CallerServerOptions MakeCallerOptions() const;
+  CallerServerOptions MakeCallerOptions();
+  // Updates the metrics of memory and connections now and then. Runs on the
+  // traffic thread.
+  void UpdateLoadMetrics();
   void AddOperatorPaths();
   nlohmann::json Status() const;
   void OnPeerMessage(const PeerHello& aFrom, const PeerMessage& aMessage);
@@ -87,6 +102,11 @@
   BackendDispatcher backendDispatcher_;
   TrafficHooks trafficHooks_;
 
+  // Bounds what is held for callers; owned by the traffic thread.
+  ScheduledMemoryPool memory_;
+  boost::asio::steady_timer loadTimer_;
+  LoadMetrics loadMetrics_;
+
   PeerNode peerNode_;
   RelayNode relayNode_;
   RequestPipeline pipeline_;
--- a/src/app/Main.cc
+++ b/src/app/Main.cc
@@ -76,6 +76,9 @@
   --log-level=<level>         debug, info, warning or error; info by default.
   --lookup-ttl=<seconds>      Time to live of a look-up, 5 by default.
   --drain-limit=<seconds>     Wait for requests in flight, 60 by default.
+  --memory-limit=<MB>         Memory that the process may use, 1024 by default.
+  --max-connections=<number>  Connections of callers, 20000 by default; fewer if
+                              memory or descriptors do not suffice.
 
 Exit codes: 0 success, 1 failure, 2 invalid arguments or settings, 3 version
 conflict, 4 invalid document, 5 withdrawal not yet committed.
--- a/src/app/OperatorServer.cc
+++ b/src/app/OperatorServer.cc
@@ -5,14 +5,28 @@
 
 namespace peridotsail {
 
+namespace {
+
+HttpServerOptions
+ServerOptions(const OperatorOptions& aOptions)
+{
+  HttpServerOptions options;
+  options.maxInputBytes_ = aOptions.maxInputBytes_;
+  return options;
+}
+
+}
+
 OperatorServer::OperatorServer(boost::asio::io_context& aContext,
                                OperatorOptions aOptions,
                                const Metrics& aMetrics)
   : options_(std::move(aOptions))
   , metrics_(aMetrics)
-  , server_(aContext, {}, [this](const HttpRequest& aRequest, auto aReply) {
-    Handle(aRequest, aReply);
-  })
+  , server_(aContext,
+            ServerOptions(options_),
+            [this](const HttpRequest& aRequest, auto aReply) {
+              Handle(aRequest, aReply);
+            })
 {
 }
 
--- a/src/app/OperatorServer.h
+++ b/src/app/OperatorServer.h
@@ -22,6 +22,8 @@
   Address listen_;
   // Sent as "Authorization: Bearer <token>".
   std::string token_;
+  // The memory for requests that are being read.
+  std::size_t maxInputBytes_ = HttpServerOptions().maxInputBytes_;
 };
 
 class OperatorServer
--- a/src/app/Settings.cc
+++ b/src/app/Settings.cc
@@ -10,6 +10,11 @@
 
 constexpr std::size_t kMinTokenBytes = 8;
 constexpr unsigned kMaxSeconds = 3600;
+constexpr unsigned kMinMemoryMb = 64;
+constexpr unsigned kMaxMemoryMb = 1'000'000;
+constexpr unsigned kMinConnections = 10;
+constexpr unsigned kMaxConnections = 1'000'000;
+constexpr std::size_t kBytesPerMb = 1'000'000;
 
 const std::vector<SettingInfo> kSettingTable{
   { "name", "PERIDOTSAIL_NAME", "", "Name of this host, as in the host list." },
@@ -53,6 +58,14 @@
     "PERIDOTSAIL_DRAIN_LIMIT",
     "60",
     "Seconds that a planned stop waits for requests in flight." },
+  { "memory-limit",
+    "PERIDOTSAIL_MEMORY_LIMIT",
+    "1024",
+    "Memory that the process may use, in MB." },
+  { "max-connections",
+    "PERIDOTSAIL_MAX_CONNECTIONS",
+    "20000",
+    "Connections of callers; fewer if memory or descriptors do not suffice." },
 };
 
 // Reads and validates settings. Keeps the first fault.
@@ -115,16 +128,27 @@
   }
 
   Duration Seconds(const std::string& aFlag)
+  {
+    return std::chrono::seconds(
+      Number(aFlag, "whole number of seconds", 0, kMaxSeconds));
+  }
+
+  unsigned Number(const std::string& aFlag,
+                  const std::string& aWhat,
+                  unsigned aMin,
+                  unsigned aMax)
   {
     const std::string text = Text(aFlag);
-    unsigned seconds = 0;
+    unsigned number = 0;
     const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, seconds);
-    if (parsed.ec != std::errc() || parsed.ptr != end ||
-        seconds > kMaxSeconds) {
-      RecordFault(aFlag, "is not a whole number of seconds from 0 to 3600");
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end || number < aMin ||
+        number > aMax) {
+      RecordFault(aFlag,
+                  "is not a " + aWhat + " from " + std::to_string(aMin) +
+                    " to " + std::to_string(aMax));
     }
-    return std::chrono::seconds(seconds);
+    return number;
   }
 
   template<typename T>
@@ -192,6 +216,12 @@
   settings.logLevel_ = reader.Choice<LogLevel>("log-level", LogLevelFromName);
   settings.lookupTtl_ = reader.Seconds("lookup-ttl");
   settings.drainLimit_ = reader.Seconds("drain-limit");
+  settings.memoryLimit_ = kBytesPerMb * reader.Number("memory-limit",
+                                                      "whole number of MB",
+                                                      kMinMemoryMb,
+                                                      kMaxMemoryMb);
+  settings.maxConnections_ = reader.Number(
+    "max-connections", "whole number", kMinConnections, kMaxConnections);
   if (!reader.FirstFault().empty()) {
     aReason = reader.FirstFault();
     return std::nullopt;
--- a/src/app/Settings.h
+++ b/src/app/Settings.h
@@ -12,6 +12,7 @@
 #include "base/EventLog.h"
 #include "http/HttpTypes.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -37,6 +38,10 @@
   Duration lookupTtl_{};
   // How long a graceful shutdown waits for requests in flight.
   Duration drainLimit_{};
+  // The memory that the process may use, in bytes.
+  std::size_t memoryLimit_ = 0;
+  // The most connections of callers.
+  std::size_t maxConnections_ = 0;
 };
 
 // Describes one setting.
--- a/src/base/ErrorKind.cc
+++ b/src/base/ErrorKind.cc
@@ -185,6 +185,12 @@
     Run::Unknown,
     0,
     "An internal error occurred." },
+  { Kind::HostOverloaded,
+    "host-overloaded",
+    503,
+    Run::NotRun,
+    1,
+    "The host has no memory for the request." },
 } };
 
 }
--- a/src/base/ErrorKind.h
+++ b/src/base/ErrorKind.h
@@ -45,10 +45,11 @@
   VersionConflict,
   OperatorUnauthenticated,
   Internal,
+  HostOverloaded,
 };
 
 constexpr std::size_t kErrorKindCount =
-  static_cast<std::size_t>(ErrorKind::Internal) + 1;
+  static_cast<std::size_t>(ErrorKind::HostOverloaded) + 1;
 
 // Whether a backend server ran the request, as stated in the response.
 enum class ExecutionState
--- a/src/base/Hash.cc
+++ b/src/base/Hash.cc
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cmath>
+#include <memory>
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 #include <vector>
@@ -36,6 +38,20 @@
   return ToHex(digest.data(), digest.size());
 }
 
+std::string
+Sha256Hex(const std::vector<std::string_view>& aParts)
+{
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(
+    EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+  EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+  for (const std::string_view part : aParts) {
+    EVP_DigestUpdate(context.get(), part.data(), part.size());
+  }
+  EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+  return ToHex(digest.data(), digest.size());
+}
+
 std::uint64_t
 MixHash(std::uint64_t aValue)
 {
--- a/src/base/Hash.h
+++ b/src/base/Hash.h
@@ -5,12 +5,16 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace peridotsail {
 
 // Returns the SHA-256 of aText as 64 lower-case hexadecimal digits.
 std::string
 Sha256Hex(std::string_view aText);
+// Returns the digest of the parts, joined.
+std::string
+Sha256Hex(const std::vector<std::string_view>& aParts);
 
 // Returns a 64-bit non-cryptographic hash, for rendezvous hashing. Do not use
 // it for untrusted input where collisions matter.
--- a/src/http/BlockBuffer.cc
+++ b/src/http/BlockBuffer.cc
@@ -31,7 +31,7 @@
       blocks_.push_back({ std::unique_ptr<char[]>(new char[bytes]), 0, bytes });
       capacity_ += bytes;
     }
-    Block& block = blocks_.back();
+    BlockData& block = blocks_.back();
     const std::size_t bytes = std::min(aBytes, block.capacity_ - block.size_);
     std::memcpy(block.bytes_.get() + block.size_, aData, bytes);
     block.size_ += bytes;
@@ -56,7 +56,7 @@
 {
   std::vector<std::string_view> blocks;
   blocks.reserve(blocks_.size());
-  for (const Block& block : blocks_) {
+  for (const BlockData& block : blocks_) {
     blocks.emplace_back(block.bytes_.get(), block.size_);
   }
   return blocks;
@@ -66,7 +66,7 @@
 BlockBuffer::Prefix(std::size_t aBytes) const
 {
   std::string text;
-  for (const Block& block : blocks_) {
+  for (const BlockData& block : blocks_) {
     const std::size_t missing = aBytes - text.size();
     text.append(block.bytes_.get(), std::min(block.size_, missing));
   }
--- a/src/http/BlockBuffer.h
+++ b/src/http/BlockBuffer.h
@@ -26,11 +26,17 @@
   std::size_t CapacityAfter(std::size_t aBytes) const;
   // Returns the content as views, which stay valid until the next change.
   std::vector<std::string_view> Blocks() const;
+  std::size_t BlockCount() const { return blocks_.size(); }
+  // Returns a block; the same as Blocks()[aIndex].
+  std::string_view Block(std::size_t aIndex) const
+  {
+    return { blocks_[aIndex].bytes_.get(), blocks_[aIndex].size_ };
+  }
   // Returns the first aBytes bytes, or all if there are fewer.
   std::string Prefix(std::size_t aBytes) const;
 
 private:
-  struct Block
+  struct BlockData
   {
     std::unique_ptr<char[]> bytes_;
     std::size_t size_ = 0;
@@ -39,7 +45,7 @@
 
   std::size_t NextBlockBytes(std::size_t aCapacity) const;
 
-  std::vector<Block> blocks_;
+  std::vector<BlockData> blocks_;
   std::size_t size_ = 0;
   std::size_t capacity_ = 0;
   std::size_t expected_ = 0;
--- a/src/once/ClaimSegment.cc
+++ b/src/once/ClaimSegment.cc
@@ -139,6 +139,15 @@
 FingerprintRequest(std::string_view aMethod,
                    std::string_view aTarget,
                    std::string_view aBody)
+{
+  return FingerprintRequest(
+    aMethod, aTarget, std::vector<std::string_view>{ aBody });
+}
+
+std::string
+FingerprintRequest(std::string_view aMethod,
+                   std::string_view aTarget,
+                   const std::vector<std::string_view>& aBody)
 {
   std::string joined(aMethod);
   joined.push_back('\0');
--- a/src/once/OnceTypes.h
+++ b/src/once/OnceTypes.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace peridotsail {
 
@@ -79,5 +80,10 @@
 FingerprintRequest(std::string_view aMethod,
                    std::string_view aTarget,
                    std::string_view aBody);
+// The same for a body in parts.
+std::string
+FingerprintRequest(std::string_view aMethod,
+                   std::string_view aTarget,
+                   const std::vector<std::string_view>& aBody);
 
 }
--- a/src/proxy/BackendExchange.cc
+++ b/src/proxy/BackendExchange.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+// The largest part of a response's body that is forwarded at once.
+constexpr std::size_t kResponseReadBytes = 16 << 10;
 // Interim responses that may precede a response.
 constexpr int kMaxInterimResponses = 32;
 constexpr int kSwitchingProtocols = 101;
@@ -364,6 +366,7 @@
     return;
   }
   Progress(ConnectionPhase::Receiving);
+  readBuffer_.resize(kResponseReadBytes);
   parser_->get().body().data = readBuffer_.data();
   parser_->get().body().size = readBuffer_.size();
   http::async_read_some(
--- a/src/proxy/BackendExchange.h
+++ b/src/proxy/BackendExchange.h
@@ -12,10 +12,10 @@
 #include "proxy/ExchangeResult.h"
 #include "proxy/IncomingRequest.h"
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace peridotsail::detail {
 
@@ -92,7 +92,8 @@
   std::optional<RequestSerializer> serializer_;
   std::optional<ResponseParser> parser_;
   std::string writeBuffer_;
-  std::array<char, 32 << 10> readBuffer_{};
+  // Allocated when the response arrives.
+  std::vector<char> readBuffer_;
   std::uint64_t bodyBytes_ = 0;
   bool headReceived_ = false;
   int interimResponses_ = 0;
--- a/src/proxy/BufferedRequest.h
+++ b/src/proxy/BufferedRequest.h
@@ -6,6 +6,8 @@
 // as the recorded outcome. The execution continues when the caller disconnects,
 // so that the outcome is available when the caller repeats the request.
 
+#include "http/BlockBuffer.h"
+#include "memory/MemoryPool.h"
 #include "once/OnceTypes.h"
 #include "proxy/IncomingRequest.h"
 
@@ -24,11 +26,17 @@
 public:
   using Done = std::function<void(const std::optional<Error>&)>;
 
-  BufferedRequest(boost::asio::io_context& aContext, IncomingRequestPtr aInner);
+  // aMemory accounts for the body. Null if nothing does.
+  BufferedRequest(boost::asio::io_context& aContext,
+                  IncomingRequestPtr aInner,
+                  MemoryPool* aMemory);
 
-  // Buffers the body. Reports an error when it exceeds aMaxBytes or ends early.
-  void BufferBody(std::uint64_t aMaxBytes, const Done& aDone);
-  const std::string& Body() const { return body_; }
+  // Buffers the body. Reports an error when it exceeds aMaxBytes or ends early,
+  // or when there is no memory for it.
+  void BufferBody(std::uint64_t aMaxBytes, Done aDone);
+  const BlockBuffer& Body() const { return body_; }
+  // Lets the next attempt read the body from its beginning.
+  void Rewind() { nextBlock_ = 0; }
   const RecordedOutcome& Outcome() const { return outcome_; }
 
   const RequestHead& Head() const override { return head_; }
@@ -38,15 +46,32 @@
   void Abort() override;
 
 private:
-  void BufferNextChunk(std::uint64_t aMaxBytes, const Done& aDone);
+  void ReadNextChunk();
+  void OnChunk(std::optional<BodyChunk> aChunk, const Error& aError);
+  // Continues when there is memory for a body of aBytes.
+  void Reserve(std::size_t aBytes);
+  void OnMemory(MemoryNotice aNotice);
+  // Appends the chunk that was read last.
+  void AppendChunk();
+  void Finish(const std::optional<Error>& aError);
   // Wraps the callback of a write so that a failed write to the caller does not
   // end the execution.
   WriteCallback IgnoreDisconnect(WriteCallback aCallback);
 
   boost::asio::io_context& context_;
   IncomingRequestPtr inner_;
+  MemoryPool* memory_;
   RequestHead head_;
-  std::string body_;
+  std::uint64_t maxBytes_ = 0;
+  // Empty once the body was read or has failed.
+  Done done_;
+  // The chunk that waits for memory.
+  std::optional<BodyChunk> chunk_;
+  BlockBuffer body_;
+  // The memory of the body.
+  std::shared_ptr<MemoryHold> hold_;
+  // The block of the body that the current attempt reads next.
+  std::size_t nextBlock_ = 0;
   RecordedOutcome outcome_;
   bool callerDisconnected_ = false;
 };
--- a/src/proxy/CallerServer.cc
+++ b/src/proxy/CallerServer.cc
@@ -6,6 +6,12 @@
 
 using namespace detail;
 
+namespace {
+
+constexpr Duration kAcceptRetryInterval = std::chrono::milliseconds(50);
+
+}
+
 CallerServer::Impl::Impl(boost::asio::io_context& aContext,
                          CallerServerOptions aOptions,
                          Handler aHandler)
@@ -13,6 +19,7 @@
   , options_(std::move(aOptions))
   , handler_(std::move(aHandler))
   , acceptor_(aContext)
+  , retryTimer_(aContext)
 {
 }
 
@@ -24,13 +31,52 @@
       if (!self->acceptor_.is_open()) {
         return;
       }
-      if (!aError && self->sessions_.size() < self->options_.maxConnections_) {
+      if (aError) {
+        // Most likely no descriptor is left.
+        self->CloseSilent();
+        self->AcceptLater();
+        return;
+      }
+      const bool hasRoom =
+        self->sessions_.size() < self->options_.maxConnections_;
+      if (hasRoom || self->CloseSilent()) {
         std::make_shared<CallerSession>(std::move(aSocket), self)->Start();
       }
       self->Accept();
     });
 }
 
+void
+CallerServer::Impl::AcceptLater()
+{
+  retryTimer_.expires_after(ToSteady(kAcceptRetryInterval));
+  retryTimer_.async_wait([self = shared_from_this()](ErrorCode aError) {
+    if (!aError && self->acceptor_.is_open()) {
+      self->Accept();
+    }
+  });
+}
+
+bool
+CallerServer::Impl::CloseSilent()
+{
+  CallerSession* silent = nullptr;
+  for (CallerSession* session : sessions_) {
+    const bool isLonger =
+      silent == nullptr || session->LastActivity() < silent->LastActivity();
+    if (session->IsSilent() && isLonger) {
+      silent = session;
+    }
+  }
+  if (silent == nullptr) {
+    return false;
+  }
+  sessions_.erase(silent);
+  silent->Close();
+  ++closed_;
+  return true;
+}
+
 CallerServer::CallerServer(boost::asio::io_context& aContext,
                            CallerServerOptions aOptions,
                            Handler aHandler)
@@ -80,6 +126,13 @@
 {
   ErrorCode ignored;
   impl_->acceptor_.close(ignored);
+  impl_->waiting_.clear();
+}
+
+std::uint64_t
+CallerServer::Closed() const
+{
+  return impl_->closed_;
 }
 
 std::size_t
--- a/src/proxy/CallerServer.h
+++ b/src/proxy/CallerServer.h
@@ -7,9 +7,11 @@
 #include "base/BootClock.h"
 #include "base/ErrorKind.h"
 #include "http/HttpTypes.h"
+#include "memory/MemoryPool.h"
 #include "proxy/IncomingRequest.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -24,8 +26,11 @@
   Duration idleTimeout_ = std::chrono::seconds(60);
   // Transfers without progress for longer are aborted.
   Duration progressTimeout_ = std::chrono::seconds(20);
-  // Connections beyond this number are closed immediately.
+  // A connection beyond this number replaces the one that has been silent for
+  // longest without a request; without such a one, it is closed immediately.
   std::size_t maxConnections_ = 20'000;
+  // Accounts for what is held for callers. Null if nothing does.
+  MemoryPool* memory_ = nullptr;
 };
 
 class CallerServer
@@ -49,6 +54,8 @@
   void Close();
   // The number of open connections.
   std::size_t Connections() const;
+  // The number of connections that were closed to make room for others.
+  std::uint64_t Closed() const;
 
   struct Impl;
 
--- a/src/proxy/CallerSession.cc
+++ b/src/proxy/CallerSession.cc
@@ -2,7 +2,10 @@
 
 #include "proxy/Refusal.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace peridotsail::detail {
 
@@ -17,6 +20,7 @@
                              std::shared_ptr<CallerServer::Impl> aServer)
   : stream_(std::move(aSocket))
   , server_(std::move(aServer))
+  , lastActivity_(BootClock::now())
 {
   server_->sessions_.insert(this);
   ErrorCode ignored;
@@ -38,11 +42,19 @@
 CallerSession::CloseIfIdle()
 {
   if (idle_ && buffer_.size() == 0) {
-    closed_ = true;
-    stream_.close();
+    Close();
   }
 }
 
+void
+CallerSession::Close()
+{
+  closed_ = true;
+  hold_.reset();
+  stream_.close();
+  server_->waiting_.erase(shared_from_this());
+}
+
 void
 CallerSession::ReadHead()
 {
@@ -50,43 +62,124 @@
   headSent_ = false;
   continueSent_ = false;
   serializer_.reset();
+  hold_.reset();
   parser_.emplace();
   parser_->header_limit(
     static_cast<std::uint32_t>(server_->options_.maxHeaderBytes_));
   // The consumer of the body enforces the limit of the route.
   parser_->body_limit(boost::none);
   stream_.expires_after(ToSteady(server_->options_.idleTimeout_));
-  http::async_read_header(
-    stream_,
-    buffer_,
-    *parser_,
-    [self = shared_from_this()](ErrorCode aError, std::size_t) {
-      self->OnHead(aError);
+  if (buffer_.size() == 0) {
+    // Connections without a request are many, and keep only a small buffer.
+    buffer_ = beast::flat_buffer();
+    ReadMoreOfHead(kIdleReadBytes);
+  } else {
+    ParseHead();
+  }
+}
+
+void
+CallerSession::ReadMoreOfHead(std::size_t aBytes)
+{
+  ReadMore(aBytes, [this](ErrorCode aError) {
+    if (aError) {
+      OnHead(aError);
+    } else {
+      ParseHead();
+    }
+  });
+}
+
+void
+CallerSession::ReadMore(std::size_t aBytes,
+                        std::function<void(ErrorCode)> aNext)
+{
+  reading_ = true;
+  stream_.async_read_some(
+    buffer_.prepare(aBytes),
+    [self = shared_from_this(), next = std::move(aNext)](ErrorCode aError,
+                                                         std::size_t aSize) {
+      self->reading_ = false;
+      if (self->responded_) {
+        self->DiscardInput();
+        return;
+      }
+      if (self->refused_) {
+        return;
+      }
+      self->buffer_.commit(aSize);
+      self->lastActivity_ = BootClock::now();
+      if (self->hold_) {
+        self->hold_->Progress(aSize, self->lastActivity_);
+      }
+      next(self->closed_ ? asio::error::operation_aborted : aError);
     });
 }
 
+void
+CallerSession::ParseHead()
+{
+  // Stops behind the head.
+  parser_->eager(false);
+  const std::size_t unparsed =
+    std::min(buffer_.size(), server_->options_.maxHeaderBytes_);
+  if (!Reserve(InputBytes() + parser_->Head().MaxBytesAfter(unparsed))) {
+    return;
+  }
+  ErrorCode error;
+  while (buffer_.size() > 0 && !parser_->is_header_done() && !error) {
+    buffer_.consume(parser_->put(buffer_.data(), error));
+  }
+  if (parser_->is_header_done()) {
+    OnHead({});
+    return;
+  }
+  if (error == http::error::need_more && buffer_.size() >= kMaxUnparsedBytes) {
+    error = http::error::buffer_overflow;
+  }
+  if (error && error != http::error::need_more) {
+    OnHead(error);
+    return;
+  }
+  Reserve(InputBytes() + parser_->Head().MaxBytesAfter(buffer_.size()));
+  if (!paused_ && !refused_) {
+    ReadMoreOfHead(kReadBytes);
+  }
+}
+
 void
 CallerSession::OnHead(const ErrorCode& aError)
 {
-  idle_ = false;
   if (aError) {
+    idle_ = false;
     RefuseMalformed(aError);
-    return;
+  } else if (Reserve(RequestBytes())) {
+    StartRequest();
   }
+}
+
+void
+CallerSession::StartRequest()
+{
+  idle_ = false;
   stream_.expires_never();
-  const auto& message = parser_->get();
+  MessageHead& message = parser_->Head();
   head_ = {};
-  head_.method_ = std::string(ToView(message.method_string()));
-  head_.target_ = std::string(ToView(message.target()));
-  head_.headers_ = ToHeaders(message);
+  head_.method_ = std::move(message.method_);
+  head_.target_ = std::move(message.target_);
+  head_.headers_ = ToHeaders(message.fields_);
+  message.fields_ = {};
   head_.hasBody_ = !parser_->is_done();
   if (const auto length = parser_->content_length()) {
     head_.contentLength_ = *length;
   }
-  keepAlive_ = message.keep_alive();
+  keepAlive_ = parser_->keep_alive();
   if (!head_.hasBody_) {
     WatchForDisconnect();
   }
+  if (hold_) {
+    hold_->SetStage(HoldStage::Executing, {}, BootClock::now());
+  }
   server_->handler_(shared_from_this());
 }
 
@@ -96,18 +189,30 @@
   const bool parseError =
     aError.category() ==
     http::make_error_code(http::error::bad_method).category();
-  const bool ended = aError == http::error::end_of_stream ||
-                     aError == http::error::partial_message;
-  if (!parseError || ended) {
+  if (!parseError) {
+    // The caller has left, or was too slow.
+    Close();
     return;
   }
+  RefuseUnfinished(aError == http::error::header_limit
+                     ? ErrorKind::HeaderTooLarge
+                     : ErrorKind::BadRequest);
+}
+
+void
+CallerSession::RefuseUnfinished(ErrorKind aKind)
+{
+  if (refused_ || closed_) {
+    return;
+  }
+  refused_ = true;
+  idle_ = false;
   keepAlive_ = false;
+  paused_ = false;
+  hold_.reset();
   head_ = {};
   head_.hasBody_ = true;
-  const ErrorKind kind = aError == http::error::header_limit
-                           ? ErrorKind::HeaderTooLarge
-                           : ErrorKind::BadRequest;
-  SendRefusal(shared_from_this(), MakeRefusal(kind), [] {});
+  SendRefusal(shared_from_this(), MakeRefusal(aKind), [] {});
 }
 
 void
@@ -145,34 +250,57 @@
 void
 CallerSession::ReadChunk(ReadCallback aCallback)
 {
-  parser_->get().body().data = readBuffer_.data();
-  parser_->get().body().size = readBuffer_.size();
+  ErrorCode parseError;
+  if (ParseChunk(parseError)) {
+    boost::asio::post(
+      server_->context_,
+      [self = shared_from_this(), callback = std::move(aCallback), parseError] {
+        self->DeliverChunk(callback, parseError);
+      });
+    return;
+  }
   stream_.expires_after(ToSteady(server_->options_.progressTimeout_));
-  readingBody_ = true;
-  http::async_read_some(
-    stream_,
-    buffer_,
-    *parser_,
-    [self = shared_from_this(),
-     callback = std::move(aCallback)](ErrorCode aError, std::size_t) {
-      self->readingBody_ = false;
-      if (self->responded_) {
-        self->DiscardInput();
-        return;
-      }
-      self->stream_.expires_never();
-      if (aError && aError != http::error::need_buffer) {
-        callback(std::nullopt, { ErrorKind::BadRequest, aError.message() });
-        return;
-      }
-      const std::size_t unused = self->parser_->get().body().size;
-      const std::size_t size = self->readBuffer_.size() - unused;
-      const bool last = self->parser_->is_done();
-      if (last) {
-        self->WatchForDisconnect();
-      }
-      callback(BodyChunk{ { self->readBuffer_.data(), size }, last }, {});
-    });
+  ReadMore(kReadBytes,
+           [this, callback = std::move(aCallback)](ErrorCode aError) {
+             ErrorCode error = aError;
+             if (error || ParseChunk(error)) {
+               DeliverChunk(callback, error);
+             } else {
+               ReadChunk(callback);
+             }
+           });
+}
+
+bool
+CallerSession::ParseChunk(ErrorCode& aError)
+{
+  parser_->eager(true);
+  while (buffer_.size() > 0 && !parser_->is_done() && !aError) {
+    buffer_.consume(parser_->put(buffer_.data(), aError));
+  }
+  if (aError == http::error::need_more && buffer_.size() < kMaxUnparsedBytes) {
+    aError = {};
+  }
+  return aError || parser_->is_done() || !parser_->Body().Text().empty();
+}
+
+void
+CallerSession::DeliverChunk(const ReadCallback& aCallback,
+                            const ErrorCode& aError)
+{
+  if (responded_) {
+    return;
+  }
+  stream_.expires_never();
+  if (aError) {
+    aCallback(std::nullopt, { ErrorKind::BadRequest, aError.message() });
+    return;
+  }
+  const bool last = parser_->is_done();
+  if (last) {
+    WatchForDisconnect();
+  }
+  aCallback(BodyChunk{ std::exchange(parser_->Body().Text(), {}), last }, {});
 }
 
 // Waits for the socket to become readable while the request is being handled.
@@ -298,8 +426,9 @@
   ErrorCode ignored;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
   stream_.expires_after(ToSteady(kLingerTimeout));
+  hold_.reset();
   // A backend server may respond before the caller has sent its whole body.
-  if (!readingBody_) {
+  if (!reading_) {
     DiscardInput();
   }
 }
@@ -310,8 +439,11 @@
 void
 CallerSession::DiscardInput()
 {
+  // Shared by all connections of the thread, since nobody reads its content.
+  thread_local std::array<char, kReadBytes> discarded;
+  buffer_ = beast::flat_buffer();
   stream_.async_read_some(
-    asio::buffer(readBuffer_),
+    asio::buffer(discarded),
     [self = shared_from_this()](ErrorCode aError, std::size_t) {
       if (!aError) {
         self->DiscardInput();
@@ -322,8 +454,7 @@
 void
 CallerSession::Abort()
 {
-  closed_ = true;
-  stream_.close();
+  Close();
 }
 
 }
--- a/src/proxy/RequestHandler.cc
+++ b/src/proxy/RequestHandler.cc
@@ -235,6 +235,14 @@
   return head;
 }
 
+void
+RequestHandler::RewindBody()
+{
+  if (buffered_) {
+    buffered_->Rewind();
+  }
+}
+
 void
 RequestHandler::StartRelay(const RelayTarget& aTarget)
 {
@@ -255,6 +263,7 @@
   head.head_ = ForwardedHead();
   head.customer_ = query_.customer_;
   head.route_ = query_.route_->name_;
+  RewindBody();
   pipeline_->relays_.Start(
     incoming_,
     aTarget.host_,
@@ -333,6 +342,7 @@
              { "server", aServer.name_ },
              { "attempt", attempts_ },
              { "relayed", query_.relayed_ } });
+  RewindBody();
   ExchangeOptions options;
   options.serverAddress_ = aServer.address_;
   options.deadline_ = query_.deadline_;
--- a/src/proxy/RequestHandler.h
+++ b/src/proxy/RequestHandler.h
@@ -69,6 +69,8 @@
   void FinishClaim(const RelayResult& aResult);
   // Finishes the claim of a request that was not sent to a backend server.
   void ReleaseClaim();
+  // Lets the next attempt read a buffered body from its beginning.
+  void RewindBody();
   void StartRelay(const RelayTarget& aTarget);
   void OnRelayDone(const std::string& aRegion, const RelayResult& aResult);
   // Called for a request that was relayed to the holder of its slot.
--- a/src/proxy/RequestHandlerAtMostOnce.cc
+++ b/src/proxy/RequestHandlerAtMostOnce.cc
@@ -18,7 +18,7 @@
 RequestHandler::StartAtMostOnce()
 {
   buffered_ = std::make_shared<BufferedRequest>(
-    pipeline_->connections_.Context(), incoming_);
+    pipeline_->connections_.Context(), incoming_, pipeline_->options_.memory_);
   incoming_ = buffered_;
   buffered_->BufferBody(
     query_.route_->maxBodyBytes_,
@@ -45,14 +45,15 @@
     RelayToSlotHolder();
     return;
   }
-  once.Begin(claimKey_,
-             FingerprintRequest(head.method_, head.target_, buffered_->Body()),
-             query_.deadline_,
-             now,
-             [self = shared_from_this()](const ClaimDecision& aDecision,
-                                         AtMostOnceExecution aExecution) {
-               self->OnClaimDecision(aDecision, std::move(aExecution));
-             });
+  once.Begin(
+    claimKey_,
+    FingerprintRequest(head.method_, head.target_, buffered_->Body().Blocks()),
+    query_.deadline_,
+    now,
+    [self = shared_from_this()](const ClaimDecision& aDecision,
+                                AtMostOnceExecution aExecution) {
+      self->OnClaimDecision(aDecision, std::move(aExecution));
+    });
 }
 
 // A relayed request is never relayed again. It arrives at a host that does not
@@ -89,6 +90,7 @@
   head.customer_ = query_.customer_;
   head.route_ = query_.route_->name_;
   head.atMostOnce_ = true;
+  buffered_->Rewind();
   pipeline_->relays_.Start(
     incoming_,
     holder,
--- a/src/proxy/RequestPipeline.h
+++ b/src/proxy/RequestPipeline.h
@@ -12,6 +12,7 @@
 
 #include "base/Metrics.h"
 #include "config/Configuration.h"
+#include "memory/MemoryPool.h"
 #include "once/AtMostOnceService.h"
 #include "proxy/ExchangeResult.h"
 #include "proxy/IncomingRequest.h"
@@ -35,6 +36,8 @@
   // Maximum attempts per request. Attempts that a backend server shed do not
   // count, because a shed request waits in the queue until its deadline.
   int maxAttempts_ = 3;
+  // Accounts for bodies that are buffered. Null if nothing does.
+  MemoryPool* memory_ = nullptr;
 };
 
 // The request for which a backend server or region is to be chosen.
