Account for the bodies of relays between hosts

Callers would see a host over its memory: each relay may have 256 KB on their way in each direction, which wait in the sender's queue, or at the receiver for a server or for a caller that does not read.

Cause: the window of a relay bounds one relay, and nothing bounded the sum.

Change: RelayMemory forces what waits into the account. A source reads no more of a body while the process holds more than it may.

No test shows the fault without the change.

--- a/src/app/EntryHostHooks.cc
+++ b/src/app/EntryHostHooks.cc
@@ -115,6 +115,7 @@
   hooks.onRequest_ = [this](const RelayedRequest& aRelayed) {
     pipeline_.HandleRelayed(aRelayed);
   };
+  hooks.memory_ = &memory_;
   return hooks;
 }
 
--- a/src/proxy/RelayDestination.cc
+++ b/src/proxy/RelayDestination.cc
@@ -10,6 +10,7 @@
   : node_(std::move(aNode))
   , from_(std::move(aFrom))
   , head_(std::move(aHead))
+  , memory_(node_->hooks_.memory_)
   , timer_(node_->context_)
 {
 }
@@ -54,6 +55,7 @@
     return;
   }
   bodyEnded_ = bodyEnded_ || chunk->last_;
+  memory_.Set(receiver_.BufferedBytes());
   if (!chunk->bytes_.empty() && !chunk->last_) {
     node_->Send(from_.hostName_,
                 PeerMessageType::RelayCredit,
@@ -67,7 +69,10 @@
 void
 RelayDestination::OnBody(RelayBodyChunk aChunk)
 {
-  if (!receiver_.Push(aChunk.sequence_, std::move(aChunk.chunk_))) {
+  const bool accepted =
+    receiver_.Push(aChunk.sequence_, std::move(aChunk.chunk_)) &&
+    memory_.Set(receiver_.BufferedBytes());
+  if (!accepted) {
     Abort();
     OnSourceDisconnected();
     return;
--- a/src/proxy/RelayExchange.h
+++ b/src/proxy/RelayExchange.h
@@ -3,6 +3,7 @@
 // The two endpoints of a relay. Internal to RelayNode.
 
 #include "http/BeastTypes.h"
+#include "proxy/RelayMemory.h"
 #include "proxy/RelayNode.h"
 #include "proxy/RelayStream.h"
 
@@ -89,6 +90,9 @@
   void ForwardRequestBody();
   void SendChunk(BodyChunk aChunk);
   void DeliverNextChunk();
+  // Accounts for what waits in both directions and for aMore bytes. Returns
+  // false if the relay must not buffer more.
+  bool MayHold(std::size_t aMore);
   void Complete();
   void Finish();
   void ArmTimer();
@@ -105,6 +109,7 @@
   TimePoint lastProgress_;
   RelaySender sender_;
   RelayReceiver receiver_;
+  RelayMemory memory_;
   RelayAllowancePtr allowance_;
   // The rest of a chunk that waits for tokens of the shift cap.
   std::optional<BodyChunk> unsentChunk_;
@@ -170,6 +175,7 @@
   RelayRequestHead head_;
   RelaySender sender_;
   RelayReceiver receiver_;
+  RelayMemory memory_;
   ReadCallback readCallback_;
   RelayAllowancePtr allowance_;
   asio::steady_timer timer_;
--- a/src/proxy/RelayNode.h
+++ b/src/proxy/RelayNode.h
@@ -11,6 +11,7 @@
 // later chunk reveals the gap, otherwise at the deadline.
 
 #include "base/BootClock.h"
+#include "memory/MemoryPool.h"
 #include "peer/PeerMessage.h"
 #include "proxy/IncomingRequest.h"
 #include "proxy/RelayAllowance.h"
@@ -45,6 +46,8 @@
   // Sends a message; returns false when there is no link to the host.
   std::function<bool(const std::string& aHost, PeerMessage aMessage)> send_;
   std::function<void(RelayedRequest)> onRequest_;
+  // Accounts for bodies on their way. Null if nothing does.
+  MemoryPool* memory_ = nullptr;
 };
 
 struct RelayResult
--- a/src/proxy/RelaySource.cc
+++ b/src/proxy/RelaySource.cc
@@ -22,6 +22,9 @@
 // A relay that exchanges no message for longer fails.
 constexpr Duration kProgressTimeout = std::chrono::seconds(15);
 
+// The largest chunk that a caller's connection or a buffered body delivers.
+constexpr std::size_t kMaxChunkBytes = 64 << 10;
+
 }
 
 RelaySource::RelaySource(std::shared_ptr<RelayNode::Impl> aNode,
@@ -37,6 +40,7 @@
   , deadline_(aDeadline)
   , done_(std::move(aDone))
   , timer_(node_->context_)
+  , memory_(node_->hooks_.memory_)
 {
 }
 
@@ -73,6 +77,10 @@
   if (readingBody_ || bodyEnded_ || unsentChunk_ || !sender_.HasCredit()) {
     return;
   }
+  // OnTimer tries again.
+  if (!MayHold(kMaxChunkBytes)) {
+    return;
+  }
   readingBody_ = true;
   result_.bodyConsumed_ = true;
   incoming_->ReadBody([self = shared_from_this()](
@@ -90,6 +98,12 @@
   });
 }
 
+bool
+RelaySource::MayHold(std::size_t aMore)
+{
+  return memory_.Set(sender_.Outstanding() + receiver_.BufferedBytes() + aMore);
+}
+
 void
 RelaySource::SendChunk(BodyChunk aChunk)
 {
@@ -168,6 +182,10 @@
     Fail({ ErrorKind::PeerUnreachable, "a chunk of the response was lost" });
     return;
   }
+  if (!MayHold(0)) {
+    Fail({ ErrorKind::HostOverloaded, "there is no memory for the response" });
+    return;
+  }
   DeliverNextChunk();
 }
 
@@ -282,6 +300,9 @@
       return;
     }
   }
+  if (head_.head_.hasBody_) {
+    ForwardRequestBody();
+  }
   ArmTimer();
 }
 
--- a/src/proxy/RelayStream.h
+++ b/src/proxy/RelayStream.h
@@ -6,6 +6,7 @@
 
 #include "proxy/RelayMessages.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -29,6 +30,14 @@
     return nextSequence_++;
   }
 
+  // Bytes that were sent and may still wait in this process or the other one.
+  std::size_t Outstanding() const
+  {
+    const auto window = static_cast<std::int64_t>(kRelayWindowBytes);
+    return static_cast<std::size_t>(
+      std::max<std::int64_t>(0, window - credit_));
+  }
+
   void AddCredit(std::uint64_t aBytes)
   {
     credit_ += static_cast<std::int64_t>(aBytes);
@@ -73,6 +82,11 @@
     return chunk;
   }
 
+  std::size_t BufferedBytes() const
+  {
+    return static_cast<std::size_t>(bufferedBytes_);
+  }
+
 private:
   // A sender may exceed its credit by its last chunk.
   static constexpr std::uint64_t kMaxOverrunBytes = 64 << 10;
