Cut the texts of callers in log lines

Callers would see a host over its memory: a Request-Id, a path or an object may fill a head, and a line has several of them, escaped. The queue to the log's thread takes 8,192 lines, so 268 MB and more could wait when the log is read slowly.

Cause: the number of lines was bounded, their length was not.

Change: LogField cuts a text after 512 bytes.

Measured: base_test "a text in a log line is cut to a bounded length"; without the change its first three checks see 16,384 bytes.

--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -6,6 +6,7 @@
 //
 //   LogEvent(Event::RouteDecision, { { "route", route }, { "server", name } });
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <optional>
@@ -131,22 +132,25 @@
   std::string_view sentence_;
 };
 
+// The most bytes of a text in a log line. Texts of callers may be as long as
+// their request's head, and thousands of lines may wait to be written.
+constexpr std::size_t kMaxLoggedBytes = 512;
+
 // A named value in a log line.
 struct LogField
 {
+  // A longer text is cut.
   LogField(std::string_view aName, std::string_view aValue)
     : name_(aName)
-    , value_(aValue)
+    , value_(aValue.substr(0, kMaxLoggedBytes))
   {
   }
   LogField(std::string_view aName, const char* aValue)
-    : name_(aName)
-    , value_(aValue)
+    : LogField(aName, std::string_view(aValue))
   {
   }
   LogField(std::string_view aName, const std::string& aValue)
-    : name_(aName)
-    , value_(aValue)
+    : LogField(aName, std::string_view(aValue))
   {
   }
   template<typename T,
--- a/src/base/testing/EventLogTest.cc
+++ b/src/base/testing/EventLogTest.cc
@@ -59,3 +59,16 @@
     CHECK(names.insert(info.name_).second);
   }
 }
+
+// Guards against a queue of lines that holds whole request heads: thousands of
+// lines may wait while the log is not read.
+TEST_CASE("a text in a log line is cut to a bounded length")
+{
+  const std::string text(16 << 10, 'x');
+  CHECK(LogField("object", text).value_.size() == kMaxLoggedBytes);
+  CHECK(LogField("object", text.c_str()).value_.size() == kMaxLoggedBytes);
+  CHECK(LogField("object", std::string_view(text)).value_.size() ==
+        kMaxLoggedBytes);
+  CHECK(LogField("object", "8").value_ == "8");
+  CHECK(LogField("bytes", text.size()).value_ == "16384");
+}
