Write heads in one buffer in `serve`

Callers saw: no answer while requests with thousands of fields were passed on. In the sanitizer build 1,400 unfinished uploads of 16 KB kept an ordinary caller waiting for more than 40 s; the traffic thread was busy all the while.

Cause: a profile shows three quarters of the thread's time in Beast's serializer. It has four buffers for each field, passes a few of them to the system at once, and goes through all of them from the beginning to advance. So the work for a head grew with the square of its fields, for requests to servers and for responses to callers.

Change: BackendExchange and CallerSession write a head as one text, and the frames of chunks themselves (MessageWriter.h, also used by src/gateway).

Why it works: the work for a head is linear in its bytes.

--- a/src/gateway/CallerExchange.cc
+++ b/src/gateway/CallerExchange.cc
@@ -1,6 +1,7 @@
 #include "gateway/CallerExchange.h"
 
 #include "http/BeastTypes.h"
+#include "http/MessageWriter.h"
 
 namespace peridotsail::detail {
 
@@ -21,20 +22,18 @@
   const auto status = static_cast<http::status>(aResponse.status_);
   std::string head = "HTTP/1.1 " + std::to_string(aResponse.status_) + ' ';
   head.append(ToView(http::obsolete_reason(status))).append("\r\n");
-  const auto add = [&head](std::string_view aName, std::string_view aValue) {
-    head.append(aName).append(": ").append(aValue).append("\r\n");
-  };
   for (const HeaderField field : aResponse.headers_) {
-    add(field.name_, field.value_);
+    AppendField(head, field.name_, field.value_);
   }
   if (BodyAllowed(aMethod, aResponse.status_)) {
-    add("Content-Length",
-        std::to_string(aResponse.body_ ? aResponse.body_->Size() : 0));
+    AppendField(head,
+                "Content-Length",
+                std::to_string(aResponse.body_ ? aResponse.body_->Size() : 0));
   } else {
     aResponse.body_.reset();
   }
   if (aResponse.close_) {
-    add("Connection", "close");
+    AppendField(head, "Connection", "close");
   }
   return head + "\r\n";
 }
--- a/src/gateway/ServerHead.cc
+++ b/src/gateway/ServerHead.cc
@@ -1,6 +1,7 @@
 #include "gateway/ServerHead.h"
 
 #include "gateway/RequestHeaders.h"
+#include "http/MessageWriter.h"
 
 #include <algorithm>
 #include <array>
@@ -14,9 +15,6 @@
 {
   std::string head =
     aRequest.method_ + ' ' + aRequest.target_ + " HTTP/1.1\r\n";
-  const auto add = [&head](std::string_view aName, std::string_view aValue) {
-    head.append(aName).append(": ").append(aValue).append("\r\n");
-  };
   const std::array<std::string_view, 4> replaced{ aNames.deadline_,
                                                   aNames.expectedInstance_,
                                                   aNames.customer_,
@@ -27,19 +25,20 @@
         return EqualIgnoreCase(header.name_, aName);
       });
     if (!isReplaced) {
-      add(header.name_, header.value_);
+      AppendField(head, header.name_, header.value_);
     }
   }
-  add(aNames.deadline_, std::to_string(ToMilliseconds(aFields.timeLeft_)));
-  add(aNames.expectedInstance_, aFields.serverId_);
+  AppendField(
+    head, aNames.deadline_, std::to_string(ToMilliseconds(aFields.timeLeft_)));
+  AppendField(head, aNames.expectedInstance_, aFields.serverId_);
   if (!aFields.customer_.empty()) {
-    add(aNames.customer_, aFields.customer_);
+    AppendField(head, aNames.customer_, aFields.customer_);
   }
   const bool hasBody = aFields.bodyBytes_ > 0 ||
                        aRequest.headers_.Has("Content-Length") ||
                        aRequest.headers_.Has("Transfer-Encoding");
   if (hasBody) {
-    add("Content-Length", std::to_string(aFields.bodyBytes_));
+    AppendField(head, "Content-Length", std::to_string(aFields.bodyBytes_));
   }
   return head + "\r\n";
 }
--- a/src/proxy/BackendExchange.cc
+++ b/src/proxy/BackendExchange.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -169,35 +170,40 @@
     });
 }
 
-void
-BackendExchange::SendHead()
+std::string
+BackendExchange::HeadText() const
 {
-  if (options_.mayStart_ && !options_.mayStart_()) {
-    Fail({ ErrorKind::PeerUnreachable, "the lease of the slot has expired" });
-    return;
+  std::string head = head_.method_ + ' ' + head_.target_ + " HTTP/1.1\r\n";
+  for (const HttpHeader& header : head_.headers_) {
+    AppendField(head, header.name_, header.value_);
   }
-  request_.version(11);
-  SetMethod(request_, head_.method_);
-  request_.target(head_.target_);
-  SetHeaders(request_, head_.headers_);
   const Duration remaining = options_.deadline_ - BootClock::now();
-  request_.set(
+  AppendField(
+    head,
     "Request-Timeout",
     std::to_string(std::max<std::int64_t>(0, ToMilliseconds(remaining))));
   if (head_.contentLength_) {
-    request_.content_length(*head_.contentLength_);
+    AppendField(head, "Content-Length", std::to_string(*head_.contentLength_));
   } else if (head_.hasBody_) {
-    request_.chunked(true);
+    AppendField(head, "Transfer-Encoding", "chunked");
+  }
+  return head + "\r\n";
+}
+
+void
+BackendExchange::SendHead()
+{
+  if (options_.mayStart_ && !options_.mayStart_()) {
+    Fail({ ErrorKind::PeerUnreachable, "the lease of the slot has expired" });
+    return;
   }
-  request_.body().data = nullptr;
-  request_.body().more = head_.hasBody_;
-  serializer_.emplace(request_);
+  headText_ = HeadText();
   // From here on the server may have received part of the request.
   result_.execution_ = ExecutionState::Unknown;
   Progress(ConnectionPhase::Sending);
-  http::async_write_header(
+  asio::async_write(
     connection_->stream_,
-    *serializer_,
+    asio::buffer(headText_),
     [self = shared_from_this()](ErrorCode aError, std::size_t aBytes) {
       if (self->finished_) {
         return;
@@ -248,17 +254,20 @@
 BackendExchange::WriteRequestChunk(BodyChunk aChunk)
 {
   writeBuffer_ = std::move(aChunk.bytes_);
-  request_.body().data = writeBuffer_.empty() ? nullptr : writeBuffer_.data();
-  request_.body().size = writeBuffer_.size();
-  request_.body().more = !aChunk.last_;
-  http::async_write(connection_->stream_,
-                    *serializer_,
+  const bool chunked = !head_.contentLength_;
+  frame_ =
+    chunked ? FrameChunk(writeBuffer_.size(), aChunk.last_) : ChunkFrame();
+  const std::array<asio::const_buffer, 3> bytes{ asio::buffer(frame_.before_),
+                                                 asio::buffer(writeBuffer_),
+                                                 asio::buffer(frame_.after_) };
+  asio::async_write(connection_->stream_,
+                    bytes,
                     [self = shared_from_this(),
                      last = aChunk.last_](ErrorCode aError, std::size_t) {
                       if (self->finished_) {
                         return;
                       }
-                      if (aError && aError != http::error::need_buffer) {
+                      if (aError) {
                         // The server may already be sending its response, so
                         // the read operation reports the error.
                         return;
--- a/src/proxy/BackendExchange.h
+++ b/src/proxy/BackendExchange.h
@@ -8,6 +8,7 @@
 // was written to the connection or the server reported that it did not execute
 // the request.
 
+#include "http/MessageWriter.h"
 #include "proxy/BackendConnections.h"
 #include "proxy/ExchangeResult.h"
 #include "proxy/IncomingRequest.h"
@@ -57,11 +58,11 @@
   void Cancel(const Error& aError);
 
 private:
-  using Request = http::request<http::buffer_body>;
-  using RequestSerializer = http::request_serializer<http::buffer_body>;
   using ResponseParser = http::response_parser<http::buffer_body>;
 
   void Connect();
+  // Returns the head of the request to the server.
+  std::string HeadText() const;
   void SendHead();
   void ForwardRequestBody();
   void WriteRequestChunk(BodyChunk aChunk);
@@ -88,10 +89,10 @@
   BackendConnectionPtr connection_;
   asio::steady_timer timer_;
   TimePoint lastProgress_;
-  Request request_;
-  std::optional<RequestSerializer> serializer_;
+  std::string headText_;
   std::optional<ResponseParser> parser_;
   std::string writeBuffer_;
+  ChunkFrame frame_;
   // Allocated when the response arrives.
   std::vector<char> readBuffer_;
   std::uint64_t bodyBytes_ = 0;
--- a/src/proxy/CallerSession.cc
+++ b/src/proxy/CallerSession.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <utility>
 
 namespace peridotsail::detail {
@@ -61,7 +62,6 @@
   idle_ = true;
   headSent_ = false;
   continueSent_ = false;
-  serializer_.reset();
   hold_.reset();
   parser_.emplace();
   parser_->header_limit(
@@ -328,34 +328,43 @@
 bool
 CallerSession::BodyAllowed() const
 {
-  const unsigned status = response_.result_int();
-  return head_.method_ != "HEAD" && status >= 200 && status != 204 &&
-         status != 304;
+  return head_.method_ != "HEAD" && responseStatus_ >= 200 &&
+         responseStatus_ != 204 && responseStatus_ != 304;
+}
+
+std::string
+CallerSession::HeadText(const ResponseHead& aHead) const
+{
+  const auto status = static_cast<http::status>(aHead.status_);
+  std::string head = "HTTP/1.1 " + std::to_string(aHead.status_) + ' ';
+  head.append(ToView(http::obsolete_reason(status))).append("\r\n");
+  for (const HttpHeader& header : aHead.headers_) {
+    AppendField(head, header.name_, header.value_);
+  }
+  if (!keepAlive_) {
+    AppendField(head, "Connection", "close");
+  }
+  if (aHead.contentLength_) {
+    AppendField(head, "Content-Length", std::to_string(*aHead.contentLength_));
+  } else if (chunked_) {
+    AppendField(head, "Transfer-Encoding", "chunked");
+  }
+  return head + "\r\n";
 }
 
 void
 CallerSession::SendHead(ResponseHead aHead, WriteCallback aCallback)
 {
   headSent_ = true;
-  response_ = Response();
-  response_.version(11);
-  response_.result(static_cast<unsigned>(aHead.status_));
-  SetHeaders(response_, aHead.headers_);
+  responseStatus_ = aHead.status_;
   const bool bodyUnread = head_.hasBody_ && (!parser_ || !parser_->is_done());
   keepAlive_ = keepAlive_ && !bodyUnread && !server_->closing_;
-  response_.keep_alive(keepAlive_);
-  if (aHead.contentLength_) {
-    response_.content_length(*aHead.contentLength_);
-  } else if (BodyAllowed()) {
-    response_.chunked(true);
-  }
-  response_.body().data = nullptr;
-  response_.body().more = true;
-  serializer_.emplace(response_);
+  chunked_ = !aHead.contentLength_ && BodyAllowed();
+  writeBuffer_ = HeadText(aHead);
   stream_.expires_after(ToSteady(server_->options_.progressTimeout_));
-  http::async_write_header(
+  asio::async_write(
     stream_,
-    *serializer_,
+    asio::buffer(writeBuffer_),
     [self = shared_from_this(),
      callback = std::move(aCallback)](ErrorCode aError, std::size_t) {
       self->stream_.expires_never();
@@ -387,17 +396,18 @@
     return;
   }
   writeBuffer_ = std::move(aChunk.bytes_);
-  response_.body().data = writeBuffer_.empty() ? nullptr : writeBuffer_.data();
-  response_.body().size = writeBuffer_.size();
-  response_.body().more = !last;
+  frame_ = chunked_ ? FrameChunk(writeBuffer_.size(), last) : ChunkFrame();
+  const std::array<asio::const_buffer, 3> bytes{ asio::buffer(frame_.before_),
+                                                 asio::buffer(writeBuffer_),
+                                                 asio::buffer(frame_.after_) };
   stream_.expires_after(ToSteady(server_->options_.progressTimeout_));
-  http::async_write(
+  asio::async_write(
     stream_,
-    *serializer_,
+    bytes,
     [self = shared_from_this(), last, callback = std::move(aCallback)](
       ErrorCode aError, std::size_t) {
       self->stream_.expires_never();
-      if (aError && aError != http::error::need_buffer) {
+      if (aError) {
         self->Abort();
         callback(false);
         return;
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -9,6 +9,7 @@
 #include "base/EventLog.h"
 #include "http/BeastTypes.h"
 #include "http/MessageParser.h"
+#include "http/MessageWriter.h"
 #include "http/StringBody.h"
 #include "proxy/CallerServer.h"
 
@@ -81,8 +82,6 @@
 
 private:
   using RequestParser = MessageParser<true, StringBody>;
-  using Response = http::response<http::buffer_body>;
-  using Serializer = http::response_serializer<http::buffer_body>;
 
   void ReadHead();
   // Parses the buffered part of the head and reads on if it is not complete.
@@ -104,6 +103,7 @@
   void FinishResponse();
   void DiscardInput();
   bool BodyAllowed() const;
+  std::string HeadText(const ResponseHead& aHead) const;
 
   // Requests memory for the input that is about to be parsed, or for the
   // request. Returns false if the connection must wait or was refused.
@@ -118,9 +118,11 @@
   beast::flat_buffer buffer_;
   std::optional<RequestParser> parser_;
   RequestHead head_;
-  Response response_;
-  std::optional<Serializer> serializer_;
+  int responseStatus_ = 0;
+  // The response's body is sent with chunked transfer coding.
+  bool chunked_ = false;
   std::string writeBuffer_;
+  ChunkFrame frame_;
   // The memory of the current request.
   std::shared_ptr<MemoryHold> hold_;
   TimePoint lastActivity_;
