Account for callers' connections together with their requests

Callers would see a host a little over its memory when all kinds of crowd come at once. Cause: connections had a bound of their own, an eighth of the memory, on top of the half for requests; with the ports' input and the idle program that is 96.5 MB on a machine of 96 MB.

Change: each connection counts 8 KB in the same account. The bound grows with them up to its limit of three quarters where the largest legal body needs it. The number of connections for which there is memory has one formula for both programs (MaxConnections).

--- a/src/app/EntryHostHooks.cc
+++ b/src/app/EntryHostHooks.cc
@@ -23,10 +23,6 @@
 }
 
 constexpr Duration kLoadMetricsInterval = std::chrono::seconds(1);
-// The part of the memory for callers' connections without a request, and what
-// one of them needs.
-constexpr std::size_t kConnectionsMemoryPart = 8;
-constexpr std::size_t kConnectionBytes = 8 << 10;
 
 // Returns how many of the process's descriptors callers' connections may use:
 // three quarters. The others are for servers and other processes.
@@ -229,10 +225,10 @@
 {
   CallerServerOptions options;
   options.listen_ = settings_.callers_;
-  options.maxConnections_ = std::min(
-    { settings_.maxConnections_,
-      settings_.memoryLimit_ / kConnectionsMemoryPart / kConnectionBytes,
-      CallerDescriptors() });
+  options.maxConnections_ =
+    std::min({ settings_.maxConnections_,
+               MaxConnections(MemoryOptions{ settings_.memoryLimit_ }),
+               CallerDescriptors() });
   options.memory_ = &memory_;
   return options;
 }
--- a/src/gateway/CallerListener.cc
+++ b/src/gateway/CallerListener.cc
@@ -73,9 +73,16 @@
   const auto connection =
     std::make_shared<CallerConnection>(std::move(aSocket), hooks_);
   connections_.insert(connection);
+  CountConnections();
   connection->Start();
 }
 
+void
+CallerListener::CountConnections()
+{
+  hooks_.memory_->SetConnections(connections_.size());
+}
+
 bool
 CallerListener::CloseSilent()
 {
@@ -94,6 +101,7 @@
   }
   (*silent)->Close();
   connections_.erase(silent);
+  CountConnections();
   return true;
 }
 
@@ -110,6 +118,7 @@
       (*it)->CheckTimeouts(now);
       it = (*it)->IsClosed() ? connections_.erase(it) : std::next(it);
     }
+    CountConnections();
     CheckTimeouts();
   });
 }
@@ -128,6 +137,7 @@
     (*it)->CloseIfIdle();
     it = (*it)->IsClosed() ? connections_.erase(it) : std::next(it);
   }
+  CountConnections();
 }
 
 void
--- a/src/gateway/CallerListener.h
+++ b/src/gateway/CallerListener.h
@@ -39,6 +39,8 @@
   // caller has been silent for longest. Returns false if there is none.
   bool CloseSilent();
   void CheckTimeouts();
+  // Accounts for the connections after their number has changed.
+  void CountConnections();
 
   CallerHooks hooks_;
   std::size_t maxConnections_;
--- a/src/gateway/Gateway.cc
+++ b/src/gateway/Gateway.cc
@@ -42,10 +42,6 @@
 constexpr Duration kDeregisterTimeout = std::chrono::milliseconds(200);
 // File descriptors that are reserved for other uses than callers' connections.
 constexpr std::size_t kReservedDescriptors = 600;
-// The part of the memory for callers' connections without a request, and what
-// one of them needs.
-constexpr std::size_t kConnectionsMemoryPart = 8;
-constexpr std::size_t kConnectionBytes = 8 << 10;
 // The ports for readiness, lookups and metrics serve short requests without a
 // body.
 constexpr std::size_t kControlMaxBodyBytes = 16 << 10;
@@ -66,10 +62,10 @@
 MaxCallerConnections(const GatewaySettings& aSettings)
 {
   const std::size_t descriptors = aSettings.maxDescriptors_;
-  return std::min(
-    descriptors > 2 * kReservedDescriptors ? descriptors - kReservedDescriptors
-                                           : descriptors / 2,
-    aSettings.memoryBytes_ / kConnectionsMemoryPart / kConnectionBytes);
+  return std::min(descriptors > 2 * kReservedDescriptors
+                    ? descriptors - kReservedDescriptors
+                    : descriptors / 2,
+                  MaxConnections(MemoryOptions{ aSettings.memoryBytes_ }));
 }
 
 std::size_t
--- a/src/memory/MemoryAccount.cc
+++ b/src/memory/MemoryAccount.cc
@@ -18,19 +18,41 @@
 
 }
 
+std::size_t
+MaxConnections(const MemoryOptions& aOptions)
+{
+  return Share(aOptions.machineBytes_, aOptions.connectionsShare_) /
+         aOptions.connectionBytes_;
+}
+
 MemoryAccount::MemoryAccount(MemoryOptions aOptions)
   : options_(aOptions)
 {
-  SetLargestBody(0);
+  UpdateBound();
 }
 
 void
 MemoryAccount::SetLargestBody(std::size_t aBytes)
+{
+  largestBody_ = aBytes;
+  UpdateBound();
+}
+
+void
+MemoryAccount::SetConnections(std::size_t aConnections)
+{
+  connections_ = aConnections * options_.connectionBytes_;
+  UpdateBound();
+}
+
+void
+MemoryAccount::UpdateBound()
 {
   const std::size_t machine = options_.machineBytes_;
   const std::size_t usual = Share(machine, options_.share_);
   const std::size_t most = Share(machine, options_.maxShare_);
-  const std::size_t body = std::min(aBytes, most) + kBodyOverheadBytes;
+  const std::size_t body =
+    std::min(largestBody_, most) + kBodyOverheadBytes + connections_;
   const std::size_t needed = Share(body, 1 / (1 - options_.reserve_));
   bound_ = std::max(usual, std::min(needed, most));
 }
@@ -55,7 +77,7 @@
 {
   const std::size_t reserve =
     IsSmall(aBytes) ? 0 : Share(bound_, options_.reserve_);
-  return held_ - aHold.bytes_ + aBytes <= bound_ - reserve;
+  return Held() - aHold.bytes_ + aBytes <= bound_ - reserve;
 }
 
 void
--- a/src/memory/MemoryAccount.h
+++ b/src/memory/MemoryAccount.h
@@ -43,8 +43,16 @@
   std::size_t waiterBytes_ = 128 << 10;
   // The part of the memory for such buffers; bounds the number that wait.
   double waiterShare_ = 1.0 / 16;
+  // What a connection of a caller needs besides its request, in bytes, and the
+  // part of the memory that all connections may use.
+  std::size_t connectionBytes_ = 8 << 10;
+  double connectionsShare_ = 1.0 / 8;
 };
 
+// Returns the number of callers' connections for which there is memory.
+std::size_t
+MaxConnections(const MemoryOptions& aOptions);
+
 using HoldId = std::uint64_t;
 
 // What the bytes of a hold wait for.
@@ -83,9 +91,11 @@
   // Sets the size of the largest legal body. A single one always fits, unless
   // it exceeds what the machine can hold.
   void SetLargestBody(std::size_t aBytes);
+  // Sets the number of callers' connections, whose bytes are held, too.
+  void SetConnections(std::size_t aConnections);
   // The most bytes that are held at the same time.
   std::size_t Bound() const { return bound_; }
-  std::size_t Held() const { return held_; }
+  std::size_t Held() const { return connections_ + held_; }
   std::size_t Waiting() const { return waiting_; }
 
   // Opens a hold of no bytes.
@@ -117,6 +127,7 @@
     bool closing_ = false;
   };
 
+  void UpdateBound();
   bool IsSmall(std::size_t aBytes) const;
   bool Fits(const Hold& aHold, std::size_t aBytes) const;
   bool IsStalled(const Hold& aHold, TimePoint aNow) const;
@@ -132,6 +143,9 @@
 
   MemoryOptions options_;
   std::size_t bound_ = 0;
+  std::size_t largestBody_ = 0;
+  // The bytes of callers' connections, and those of all holds.
+  std::size_t connections_ = 0;
   std::size_t held_ = 0;
   std::size_t waiting_ = 0;
   HoldId lastId_ = 0;
--- a/src/memory/MemoryPool.cc
+++ b/src/memory/MemoryPool.cc
@@ -124,6 +124,12 @@
   pool_->account_.SetLargestBody(aBytes);
 }
 
+void
+MemoryPool::SetConnections(std::size_t aConnections)
+{
+  pool_->account_.SetConnections(aConnections);
+}
+
 std::shared_ptr<MemoryHold>
 MemoryPool::Open(HoldStage aStage, MemoryCallback aCallback, TimePoint aNow)
 {
--- a/src/memory/MemoryPool.h
+++ b/src/memory/MemoryPool.h
@@ -76,6 +76,7 @@
   MemoryPool& operator=(const MemoryPool&) = delete;
 
   void SetLargestBody(std::size_t aBytes);
+  void SetConnections(std::size_t aConnections);
   std::shared_ptr<MemoryHold> Open(HoldStage aStage,
                                    MemoryCallback aCallback,
                                    TimePoint aNow);
--- a/src/memory/testing/MemoryAccountTest.cc
+++ b/src/memory/testing/MemoryAccountTest.cc
@@ -210,3 +210,31 @@
     CHECK(account.Held() == 0);
   }
 }
+
+// Guards against connections that are bounded apart from the requests: together
+// they would exceed the memory of the machine.
+TEST_CASE("Connections and requests share one bound")
+{
+  MemoryAccount account(Options(100));
+  account.SetConnections(MaxConnections(Options(100)));
+  CHECK(account.Held() > 12 * kMegabyte);
+  MemoryVerdict verdict = MemoryVerdict::Admitted;
+  while (verdict == MemoryVerdict::Admitted) {
+    const HoldId id = account.Open(HoldStage::Receiving, At(0));
+    verdict = account.Request(id, 50000, At(0));
+  }
+  CHECK(account.Held() <= account.Bound());
+  CHECK(account.Bound() == 50 * kMegabyte);
+}
+
+// Guards against connections without a request that keep the largest legal body
+// from being served.
+TEST_CASE("The largest legal body fits beside many connections")
+{
+  MemoryAccount account(Options(110));
+  account.SetLargestBody(68 * kMegabyte);
+  account.SetConnections(400);
+  const HoldId id = account.Open(HoldStage::Receiving, At(0));
+  CHECK(account.Request(id, 68 * kMegabyte, At(0)) == MemoryVerdict::Admitted);
+  CHECK(account.Bound() <= 110 * kMegabyte * 3 / 4);
+}
--- a/src/proxy/CallerServer.cc
+++ b/src/proxy/CallerServer.cc
@@ -71,12 +71,34 @@
   if (silent == nullptr) {
     return false;
   }
-  sessions_.erase(silent);
+  Remove(*silent);
   silent->Close();
   ++closed_;
   return true;
 }
 
+void
+CallerServer::Impl::Add(CallerSession& aSession)
+{
+  sessions_.insert(&aSession);
+  CountConnections();
+}
+
+void
+CallerServer::Impl::Remove(CallerSession& aSession)
+{
+  sessions_.erase(&aSession);
+  CountConnections();
+}
+
+void
+CallerServer::Impl::CountConnections()
+{
+  if (options_.memory_ != nullptr) {
+    options_.memory_->SetConnections(sessions_.size());
+  }
+}
+
 CallerServer::CallerServer(boost::asio::io_context& aContext,
                            CallerServerOptions aOptions,
                            Handler aHandler)
@@ -89,6 +111,8 @@
 CallerServer::~CallerServer()
 {
   Close();
+  // Sessions are destroyed with the io_context, after the pool.
+  impl_->options_.memory_ = nullptr;
 }
 
 bool
--- a/src/proxy/CallerSession.cc
+++ b/src/proxy/CallerSession.cc
@@ -23,14 +23,14 @@
   , server_(std::move(aServer))
   , lastActivity_(BootClock::now())
 {
-  server_->sessions_.insert(this);
+  server_->Add(*this);
   ErrorCode ignored;
   stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
 
 CallerSession::~CallerSession()
 {
-  server_->sessions_.erase(this);
+  server_->Remove(*this);
 }
 
 void
--- a/src/proxy/CallerSession.h
+++ b/src/proxy/CallerSession.h
@@ -36,6 +36,10 @@
   // Closes the connection without a request whose caller has been silent for
   // longest. Returns false if there is none.
   bool CloseSilent();
+  void Add(detail::CallerSession& aSession);
+  void Remove(detail::CallerSession& aSession);
+  // Accounts for the connections after their number has changed.
+  void CountConnections();
 
   boost::asio::io_context& context_;
   CallerServerOptions options_;
