--- a/src/app/testing/SettingsTest.cc
+++ b/src/app/testing/SettingsTest.cc
@@ -50,6 +50,8 @@
   CHECK(settings->hostName_ == "h1");
   CHECK(settings->lookupTtl_ == std::chrono::seconds(9));
   CHECK(settings->drainLimit_ == std::chrono::seconds(60));
+  CHECK(settings->memoryLimit_ == 1'024'000'000);
+  CHECK(settings->maxConnections_ == 20'000);
 }
 
 // Guards against a process that starts with an invalid setting.
@@ -58,7 +60,8 @@
   const Values cases{ { "name", "a b" },        { "callers", "localhost:80" },
                       { "store", "127.0.0.1" }, { "operator-token", "short" },
                       { "log-format", "xml" },  { "log-level", "loud" },
-                      { "lookup-ttl", "5s" },   { "drain-limit", "-1" } };
+                      { "lookup-ttl", "5s" },   { "drain-limit", "-1" },
+                      { "memory-limit", "10" }, { "max-connections", "0" } };
   for (const auto& [flag, value] : cases) {
     INFO(flag);
     Values flags = ValidFlags();
--- a/src/http/testing/MessageParserTest.cc
+++ b/src/http/testing/MessageParserTest.cc
@@ -1,6 +1,8 @@
 #include "http/MessageParser.h"
 
 #include "http/BlockBuffer.h"
+#include "http/MessageWriter.h"
+#include "http/StringBody.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -116,3 +118,31 @@
     }
   }
 }
+
+// Guards against bodies in chunks that a reader understands differently.
+TEST_CASE("Framed chunks are read as the body that was written")
+{
+  const std::vector<std::vector<std::size_t>> bodies{
+    { 0 }, { 1 }, { 16, 0 }, { 4096, 65536, 255, 0 }, { 10, 11, 12 }
+  };
+  for (const auto& sizes : bodies) {
+    std::string text = "POST / HTTP/1.1\r\n";
+    AppendField(text, "Transfer-Encoding", "chunked");
+    text += "\r\n";
+    std::string body;
+    for (std::size_t i = 0; i < sizes.size(); ++i) {
+      const std::string part(sizes[i], static_cast<char>('a' + i));
+      const ChunkFrame frame = FrameChunk(part.size(), i + 1 == sizes.size());
+      text += frame.before_ + part + frame.after_;
+      body += part;
+    }
+    MessageParser<true, StringBody> parser;
+    parser.eager(true);
+    ErrorCode error;
+    const std::size_t used = parser.put(asio::buffer(text), error);
+    CHECK_FALSE(error);
+    CHECK(used == text.size());
+    CHECK(parser.is_done());
+    CHECK(parser.Body().Text() == body);
+  }
+}
